--- /dev/null
+++ b/src/app/commandline.cpp
@@ -0,0 +1,57 @@
+#include "commandline.h"
+
+#include <absl/flags/flag.h>
+#include <iostream>
+
+ABSL_FLAG(std::string, settings, "", "settings file of a daemon");
+ABSL_FLAG(std::string, table, "", "CSV sheet to check");
+ABSL_FLAG(std::string, actor, "",
+          "who makes the edit; the login name if empty");
+ABSL_FLAG(std::string, admin, "", "admin address IP:PORT of a daemon");
+ABSL_FLAG(bool, json, false, "print JSON for programs");
+ABSL_FLAG(bool, delete_missing, false,
+          "import: delete rows that the sheet leaves out");
+ABSL_FLAG(bool, reference, false,
+          "check: print the reference of settings and table columns");
+
+namespace App {
+
+const std::vector<Command> &commands() {
+  static const std::vector<Command> table = {
+      {"serve", "serve --settings FILE", "run a daemon", runServe},
+      {"table",
+       "table show [KIND]|export|import FILE|edit KIND NAME COLUMN=VALUE...|"
+       "delete KIND NAME|history [KIND NAME] --settings FILE",
+       "read and edit the table", runTable},
+      {"key", "key new | key hash < KEY", "make a key and its hash", runKey},
+      {"check", "check --settings FILE [--table FILE] | check --reference",
+       "find every fault in settings and sheet", runCheck},
+      {"status", "status --admin IP:PORT [--json]", "what a daemon knows now",
+       runStatus},
+      {"audit", "audit [orders] --admin IP:PORT [--json]",
+       "who changed what, accepted or refused", runAudit},
+  };
+  return table;
+}
+
+std::string helpText(const std::string &command) {
+  std::string text;
+  for (const Command &it : commands())
+    if (command.empty() || command == it.Name)
+      text += std::string("  hickoryspring ") + it.Usage + "\n      " +
+              it.Summary + "\n";
+  if (text.empty())
+    return helpText("");
+  return "usage:\n" + text +
+         "flags: --settings --table --actor --admin --json --delete_missing "
+         "--reference\n"
+         "exit codes: 0 done, 1 refused or faulty, 2 wrong usage, 3 no "
+         "answer\n";
+}
+
+ExitCode usageError(const std::string &what) {
+  std::cerr << "hickoryspring: " << what << '\n' << helpText("");
+  return ExitCode::Usage;
+}
+
+} // namespace App
--- /dev/null
+++ b/src/libs/daemon/vmlistwatch.h
@@ -0,0 +1,55 @@
+#ifndef DAEMON_VMLISTWATCH_H
+#define DAEMON_VMLISTWATCH_H
+
+#include "history/history.h"
+#include "platform/platform.h"
+#include "utils/utils.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace Daemon::Internal {
+
+/// Changes that bring the endpoints of the state in line with the VM list.
+std::vector<History::EndpointChange>
+vmListChanges(const History::State &state, const std::vector<Platform::Vm> &vms,
+              History::Position fence);
+
+/// Names of daemons that were on earlier lists and are not on this one; notes
+/// those that are in `listed`.
+std::vector<std::string> daemonsThatLeft(const std::vector<Platform::Vm> &vms,
+                                         std::set<std::string> &listed);
+
+/// Thread that reads the VM list while it is wanted. Thread-safe.
+class VmListWatch {
+public:
+  explicit VmListWatch(Platform::VmList list) : List(std::move(list)) {}
+  ~VmListWatch() { stop(); }
+
+  void start();
+  void stop();
+  void setWanted(bool wanted) { Wanted = wanted; }
+  /// The newest list that was not taken yet.
+  std::optional<std::vector<Platform::Vm>> take();
+
+private:
+  void run();
+
+  Platform::VmList List;
+  std::atomic<bool> Wanted = false;
+  std::mutex Mutex;
+  std::condition_variable Wake;
+  std::optional<std::vector<Platform::Vm>> Newest;
+  bool Stopping = false;
+  std::thread Thread;
+};
+
+} // namespace Daemon::Internal
+
+#endif // DAEMON_VMLISTWATCH_H
--- /dev/null
+++ b/src/libs/engine/connection.cpp
@@ -0,0 +1,126 @@
+#include "engine/connection.h"
+
+#include "engine/endpointstream.h"
+
+#include <algorithm>
+#include <netinet/tcp.h>
+
+namespace Engine::Internal {
+
+namespace {
+
+using Utils::Errc;
+
+constexpr Utils::Milliseconds ConnectTimeout(1000);
+/// A peer that acknowledges no byte for this long is gone.
+constexpr unsigned UnacknowledgedMs = 1000;
+constexpr char RequestIdHeader[] = "X-Request-Id";
+constexpr char DeadlineHeader[] = "X-Deadline-Ms";
+
+Utils::Milliseconds timeLeft(Utils::TimePoint deadline) {
+  auto left = std::chrono::duration_cast<Utils::Milliseconds>(
+      deadline - std::chrono::steady_clock::now());
+  return std::max(left, Utils::Milliseconds(1));
+}
+
+httplib::Request makeRequest(const Call &call) {
+  httplib::Request request;
+  request.method = call.Method;
+  request.path = call.Path;
+  request.body = call.Body;
+  request.set_header(RequestIdHeader, call.RequestId);
+  request.set_header(DeadlineHeader,
+                     std::to_string(timeLeft(call.Deadline).count()));
+  if (!call.ContentType.empty())
+    request.set_header("Content-Type", call.ContentType);
+  for (const auto &[name, value] : call.Headers)
+    request.set_header(name, value);
+  return request;
+}
+
+void setSocketOptions(socket_t socket) {
+  setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &UnacknowledgedMs,
+             sizeof(UnacknowledgedMs));
+}
+
+} // namespace
+
+Connection::Connection(const std::string &host, uint16_t port)
+    : httplib::ClientImpl(host, port) {
+  set_tcp_nodelay(true);
+  set_socket_options(setSocketOptions);
+}
+
+bool Connection::process_socket(
+    const Socket &socket, std::function<bool(httplib::Stream &)> callback) {
+  EndpointStream stream(socket.sock, Current->Deadline, Current->Cancelled);
+  bool done = callback(stream);
+  Sent = stream.sent();
+  Received = stream.received();
+  HasMore = stream.hasMore();
+  return done;
+}
+
+Utils::Status Connection::statusOf(httplib::Error error, bool cancelled) const {
+  if (error == httplib::Error::Success)
+    return Utils::success();
+  std::string what = httplib::to_string(error);
+  if (!Sent)
+    return Utils::failure(Errc::Unavailable, what);
+  if (cancelled)
+    return Utils::failure(Errc::Cancelled, "cancelled by the caller");
+  return Utils::failure(Errc::UnknownResult, what);
+}
+
+Utils::Status Connection::send(const Call &call, const AnswerSink &sink) {
+  bool reused = std::exchange(Proved, false);
+  Current = &call;
+  Sent = Received = HasMore = Stale = false;
+  set_connection_timeout(std::min(ConnectTimeout, timeLeft(call.Deadline)));
+  set_keep_alive(call.Repeatable);
+
+  bool cancelled = false;
+  bool foreign = false;
+  bool headSeen = false;
+  bool echoes = false;
+  auto onHead = [&](const httplib::Response &response) {
+    headSeen = true;
+    std::string echoed = response.get_header_value(RequestIdHeader);
+    echoes = echoed == call.RequestId;
+    // An answer that names no request may be that of an earlier one.
+    foreign = !echoes && (reused || !echoed.empty());
+    if (foreign)
+      return false;
+    AnswerHead head{response.status, response.get_header_value("Content-Type")};
+    cancelled = !sink.OnHead(head);
+    return !cancelled;
+  };
+  httplib::Request request = makeRequest(call);
+  request.response_handler = onHead;
+  request.content_receiver = [&](const char *data, size_t n, uint64_t,
+                                 uint64_t) {
+    cancelled = !sink.OnBody({data, n});
+    return !cancelled;
+  };
+  httplib::Response response;
+  httplib::Error error = httplib::Error::Success;
+  bool whole = ClientImpl::send(request, response, error);
+  // The library calls no handler for an answer that has no body.
+  if (whole && !headSeen)
+    whole = onHead(response);
+  if (foreign)
+    return Utils::failure(Errc::Corrupt, "the answer is for another request");
+  cancelled = cancelled || (call.Cancelled && call.Cancelled());
+  Proved = whole && echoes && call.Repeatable && !HasMore;
+  Stale = reused && !whole && !Received && !cancelled &&
+          std::chrono::steady_clock::now() < call.Deadline;
+  if (!whole && error == httplib::Error::Success)
+    error = httplib::Error::Canceled;
+  return statusOf(error, cancelled);
+}
+
+bool Connection::isReusable() const {
+  return Proved && socket_.is_open() && isQuiet(socket_.sock);
+}
+
+} // namespace Engine::Internal
--- /dev/null
+++ b/src/libs/engine/connection.h
@@ -0,0 +1,40 @@
+#ifndef ENGINE_CONNECTION_H
+#define ENGINE_CONNECTION_H
+
+#include "engine/engine.h"
+
+#include <httplib.h>
+
+namespace Engine::Internal {
+
+/// Connection to one endpoint, for one call at a time.
+class Connection : private httplib::ClientImpl {
+public:
+  Connection(const std::string &host, uint16_t port);
+
+  /// Connects when there is no connection yet, and sends the call once.
+  Utils::Status send(const Call &call, const AnswerSink &sink);
+  /// Whether it can take another call: the last answer came whole, named its
+  /// request, and nothing came after it.
+  bool isReusable() const;
+  /// Whether the last call ended without a byte of an answer on a connection
+  /// that was kept from an earlier one: the endpoint had closed it meanwhile.
+  bool wasStale() const { return Stale; }
+
+private:
+  bool process_socket(const Socket &socket,
+                      std::function<bool(httplib::Stream &)> callback) override;
+  Utils::Status statusOf(httplib::Error error, bool cancelled) const;
+
+  const Call *Current = nullptr;
+  /// Whether an answer came over this connection before.
+  bool Proved = false;
+  bool Stale = false;
+  bool Sent = false;
+  bool Received = false;
+  bool HasMore = false;
+};
+
+} // namespace Engine::Internal
+
+#endif // ENGINE_CONNECTION_H
--- /dev/null
+++ b/src/libs/engine/endpointstream.cpp
@@ -0,0 +1,84 @@
+#include "engine/endpointstream.h"
+
+#include <algorithm>
+#include <cstring>
+#include <poll.h>
+#include <sys/socket.h>
+
+namespace Engine::Internal {
+
+namespace {
+constexpr size_t ReceiveBytes = 16384;
+/// How often a wait looks whether its call was cancelled.
+constexpr Utils::Milliseconds CancelCheckPeriod(100);
+} // namespace
+
+EndpointStream::EndpointStream(socket_t socket, Utils::TimePoint deadline,
+                               const std::function<bool()> &cancelled)
+    : Socket(socket), Deadline(deadline), Cancelled(cancelled) {}
+
+bool EndpointStream::waitFor(short events) const {
+  while (!Cancelled || !Cancelled()) {
+    Utils::TimePoint now = std::chrono::steady_clock::now();
+    if (now >= Deadline)
+      return false;
+    // Rounded up, so that the last wait ends behind the deadline.
+    auto left = std::chrono::ceil<Utils::Milliseconds>(Deadline - now);
+    pollfd it{Socket, events, 0};
+    int waitMs = static_cast<int>(std::min(left, CancelCheckPeriod).count());
+    if (poll(&it, 1, waitMs) > 0)
+      return true;
+  }
+  return false;
+}
+
+ssize_t EndpointStream::read(char *ptr, size_t size) {
+  if (!hasMore()) {
+    if (!waitFor(POLLIN))
+      return -1;
+    Buffer.resize(ReceiveBytes);
+    ReadAt = 0;
+    ssize_t n = recv(Socket, Buffer.data(), Buffer.size(), 0);
+    Buffer.resize(static_cast<size_t>(std::max<ssize_t>(n, 0)));
+    if (n <= 0)
+      return n;
+    Received = true;
+  }
+  size_t n = std::min(size, Buffer.size() - ReadAt);
+  std::memcpy(ptr, Buffer.data() + ReadAt, n);
+  ReadAt += n;
+  return static_cast<ssize_t>(n);
+}
+
+ssize_t EndpointStream::write(const char *ptr, size_t size) {
+  if (!Sent && !isQuiet(Socket))
+    return -1;
+  if (!waitFor(POLLOUT))
+    return -1;
+  ssize_t n = send(Socket, ptr, size, MSG_NOSIGNAL | MSG_DONTWAIT);
+  Sent = Sent || n > 0;
+  return n;
+}
+
+bool EndpointStream::is_readable() const {
+  return hasMore() || waitFor(POLLIN);
+}
+
+bool EndpointStream::is_writable() const { return waitFor(POLLOUT); }
+
+void EndpointStream::get_remote_ip_and_port(std::string &ip, int &port) const {
+  ip.clear();
+  port = 0;
+}
+
+void EndpointStream::get_local_ip_and_port(std::string &ip, int &port) const {
+  ip.clear();
+  port = 0;
+}
+
+bool isQuiet(socket_t socket) {
+  pollfd it{socket, POLLIN | POLLRDHUP, 0};
+  return poll(&it, 1, 0) == 0;
+}
+
+} // namespace Engine::Internal
--- /dev/null
+++ b/src/libs/routing/outliers.cpp
@@ -0,0 +1,53 @@
+#include "routing/outliers.h"
+
+#include <algorithm>
+
+namespace Routing {
+
+namespace {
+
+constexpr uint32_t FailuresToEject = 5;
+constexpr Utils::Milliseconds BaseEjection(5000);
+constexpr uint32_t MaxEjectionFactor = 12;
+/// One in this many candidates at most is ejected.
+constexpr size_t EjectedShare = 2;
+
+} // namespace
+
+void Outliers::record(const std::string &endpoint, bool failed,
+                      Utils::TimePoint now) {
+  std::lock_guard lock(Mutex);
+  if (!failed) {
+    Healths.erase(endpoint);
+    return;
+  }
+  Health &health = Healths[endpoint];
+  if (++health.FailuresInRow < FailuresToEject)
+    return;
+  health.FailuresInRow = 0;
+  health.Ejections = std::min(health.Ejections + 1, MaxEjectionFactor);
+  health.EjectedUntil = now + BaseEjection * health.Ejections;
+}
+
+std::set<std::string>
+Outliers::ejected(const std::vector<std::string> &endpoints,
+                  Utils::TimePoint now) const {
+  std::vector<std::pair<Utils::TimePoint, std::string>> out;
+  {
+    std::lock_guard lock(Mutex);
+    if (Healths.empty())
+      return {};
+    for (const std::string &endpoint : endpoints)
+      if (auto it = Healths.find(endpoint);
+          it != Healths.end() && it->second.EjectedUntil > now)
+        out.emplace_back(it->second.EjectedUntil, endpoint);
+  }
+  std::sort(out.rbegin(), out.rend());
+  out.resize(std::min(out.size(), endpoints.size() / EjectedShare));
+  std::set<std::string> names;
+  for (auto &[until, endpoint] : out)
+    names.insert(std::move(endpoint));
+  return names;
+}
+
+} // namespace Routing
--- /dev/null
+++ b/src/libs/utils/utils.h
@@ -0,0 +1,12 @@
+#ifndef UTILS_UTILS_H
+#define UTILS_UTILS_H
+
+/// Public header of the utils library.
+#include "utils/boundedring.h"
+#include "utils/clock.h"
+#include "utils/digest.h"
+#include "utils/event.h"
+#include "utils/outcome.h"
+#include "utils/periodicthread.h"
+
+#endif // UTILS_UTILS_H
--- /dev/null
+++ b/tests/auto/support/doctestheaders.cpp
@@ -0,0 +1,1 @@
+// Owns the precompiled header that all tests share.
