Speak to the platform and the endpoints from platform/ only

Cause: the HTTP clients of engines and services stood in src/libs/engine, which the placement decisions link, and the interface of the log, VM list and weight store stood beside their client. What arrived without a member became 0: an engine without memory_mb, a report without memory_used_mb (an engine that seems empty), an unknown replica state ("loading").

Change: src/libs/environment and src/libs/engine hold plain structs of functions; platform/ holds every client. A missing member or an unknown state is Errc::Corrupt with its name; a VM of an unknown kind is left out with a line. The engine stand-in reports `queued`, which it had left out.

In tests a VM row of the old case now names its memory, as a real row does.

--- a/src/app/logview.cpp
+++ b/src/app/logview.cpp
@@ -14,7 +14,7 @@
 constexpr Utils::Milliseconds RetryPause(200);
 } // namespace
 
-LogView::LogView(Platform::LogService log, std::function<void()> pause)
+LogView::LogView(Environment::LogService log, std::function<void()> pause)
     : Log(std::move(log)), Pause(std::move(pause)) {}
 
 void LogView::defaultPause() { std::this_thread::sleep_for(RetryPause); }
@@ -43,7 +43,7 @@
         return status;
       continue;
     }
-    for (const Platform::LogEntry &entry : read->Entries)
+    for (const Environment::LogEntry &entry : read->Entries)
       History::applyAppend(Current, entry.Offset, entry.Bytes);
     if (Current.NextOffset >= read->NextOffset)
       return Utils::success();
--- a/src/app/logview.h
+++ b/src/app/logview.h
@@ -1,8 +1,8 @@
 #ifndef APP_LOGVIEW_H
 #define APP_LOGVIEW_H
 
+#include "environment/environment.h"
 #include "history/history.h"
-#include "platform/platform.h"
 #include "utils/outcome.h"
 
 namespace App {
@@ -11,7 +11,7 @@
 class LogView {
 public:
   /// `pause` waits between two tries.
-  explicit LogView(Platform::LogService log,
+  explicit LogView(Environment::LogService log,
                    std::function<void()> pause = defaultPause);
 
   /// Reads to the end of the log.
@@ -36,13 +36,13 @@
   /// Appends until every edit of the batch has a verdict or it was tried often.
   void submitBatch(const Batch &batch);
 
-  Platform::LogService Log;
+  Environment::LogService Log;
   std::function<void()> Pause;
   History::State Current;
 };
 
 /// Log named by the settings file of the command line; the faults are printed.
-Utils::Outcome<Platform::LogService> logFromSettings();
+Utils::Outcome<Environment::LogService> logFromSettings();
 
 } // namespace App
 
--- a/src/app/settingslog.cpp
+++ b/src/app/settingslog.cpp
@@ -1,6 +1,7 @@
 #include "commandline.h"
 #include "logview.h"
 
+#include "platform/platform.h"
 #include "settings/settings.h"
 
 #include <absl/flags/flag.h>
@@ -8,7 +9,7 @@
 
 namespace App {
 
-Utils::Outcome<Platform::LogService> logFromSettings() {
+Utils::Outcome<Environment::LogService> logFromSettings() {
   Settings::Loaded loaded =
       Settings::loadSettings(absl::GetFlag(FLAGS_settings));
   for (const Settings::Fault &fault : loaded.Faults)
--- a/src/libs/daemon/context.h
+++ b/src/libs/daemon/context.h
@@ -7,11 +7,11 @@
 #include "daemon/retrybudget.h"
 #include "daemon/upstream.h"
 #include "daemon/waitingboard.h"
+#include "environment/environment.h"
 #include "history/history.h"
 #include "logsync/logsync.h"
 #include "metrics/metrics.h"
 #include "peers/peers.h"
-#include "platform/platform.h"
 #include "routing/routing.h"
 #include "settings/settings.h"
 #include "utils/utils.h"
@@ -26,9 +26,9 @@
 struct Context {
   Settings::DaemonSettings Settings;
   Utils::Clock Clock;
-  Platform::LogService Log;
-  Platform::VmList Vms;
-  Platform::WeightStore Weights;
+  Environment::LogService Log;
+  Environment::VmList Vms;
+  Environment::WeightStore Weights;
   History::StateStore Store;
   Metrics::Registry Metrics;
   EndpointClients Clients;
--- a/src/libs/daemon/daemon.cpp
+++ b/src/libs/daemon/daemon.cpp
@@ -9,6 +9,7 @@
 #include "daemon/servicecalls.h"
 #include "daemon/snapshotduty.h"
 #include "daemon/statusreport.h"
+#include "platform/platform.h"
 
 #include <httplib.h>
 
--- a/src/libs/daemon/endpointclients.cpp
+++ b/src/libs/daemon/endpointclients.cpp
@@ -1,14 +1,16 @@
 #include "daemon/endpointclients.h"
 
+#include "platform/platform.h"
+
 namespace Daemon::Internal {
 
 EndpointClients::EndpointClients() {
-  auto connections = Engine::makeConnectionPool();
+  auto connections = Platform::makeConnectionPool();
   MakeService = [connections](const std::string &host, uint16_t port) {
-    return Engine::makeHttpService(host, port, connections);
+    return Platform::makeHttpService(host, port, connections);
   };
   MakeEngine = [connections](const std::string &host, uint16_t port) {
-    return Engine::makeHttpEngine(host, port, connections);
+    return Platform::makeHttpEngine(host, port, connections);
   };
 }
 
--- a/src/libs/daemon/peerdutyfeed.cpp
+++ b/src/libs/daemon/peerdutyfeed.cpp
@@ -6,7 +6,7 @@
 
 namespace Daemon::Internal {
 
-using Platform::LogRead;
+using Environment::LogRead;
 using Utils::Errc;
 using Utils::Outcome;
 
--- a/src/libs/daemon/peerdutylog.cpp
+++ b/src/libs/daemon/peerdutylog.cpp
@@ -7,8 +7,8 @@
 
 namespace Daemon::Internal {
 
-using Platform::LogEntry;
-using Platform::LogRead;
+using Environment::LogEntry;
+using Environment::LogRead;
 using Utils::Errc;
 using Utils::Outcome;
 
@@ -80,8 +80,8 @@
     Thread.join();
 }
 
-Platform::LogService PeerLog::service() {
-  Platform::LogService service = Sources.Log;
+Environment::LogService PeerLog::service() {
+  Environment::LogService service = Sources.Log;
   service.Read = [this](uint64_t from, uint32_t max, uint32_t waitMs) {
     return read({from, max, waitMs});
   };
--- a/src/libs/daemon/peerdutylog.h
+++ b/src/libs/daemon/peerdutylog.h
@@ -3,9 +3,9 @@
 
 #include "daemon/currency.h"
 #include "daemon/logfollowers.h"
+#include "environment/environment.h"
 #include "history/history.h"
 #include "peers/peers.h"
-#include "platform/platform.h"
 
 #include <condition_variable>
 #include <deque>
@@ -21,9 +21,9 @@
   explicit AppendCache(size_t maxBytes) : MaxBytes(maxBytes) {}
 
   /// Takes an entry that follows the last one; after a gap it begins anew.
-  void add(const Platform::LogEntry &entry);
+  void add(const Environment::LogEntry &entry);
   /// Entries from an offset, within the bounds; nothing when it is too old.
-  std::optional<std::vector<Platform::LogEntry>>
+  std::optional<std::vector<Environment::LogEntry>>
   read(uint64_t from, size_t maxEntries, size_t maxBytes) const;
   /// Offset after the last entry; 0 without entries.
   uint64_t end() const;
@@ -31,13 +31,13 @@
 private:
   size_t MaxBytes;
   mutable std::mutex Mutex;
-  std::deque<Platform::LogEntry> Entries;
+  std::deque<Environment::LogEntry> Entries;
   size_t Bytes = 0;
 };
 
 /// What the fallback needs of the daemon; replaced in tests.
 struct PeerLogSources {
-  Platform::LogService Log;
+  Environment::LogService Log;
   Peers::Rpc Rpc;
   /// Daemons to ask, best first.
   std::function<std::vector<std::string>()> Candidates;
@@ -58,7 +58,7 @@
   ~PeerLog();
 
   /// The log with the fallback; valid as long as this object lives.
-  Platform::LogService service();
+  Environment::LogService service();
   /// Registers the methods by which others read from this daemon.
   void serve();
   void stop();
@@ -70,20 +70,21 @@
     uint32_t WaitMs = 0;
   };
 
-  Utils::Outcome<Platform::LogRead> read(const ReadJob &job);
-  Utils::Outcome<Platform::LogRead> readItself(const ReadJob &job);
-  std::optional<Platform::LogRead> readFeeder(const ReadJob &job);
+  Utils::Outcome<Environment::LogRead> read(const ReadJob &job);
+  Utils::Outcome<Environment::LogRead> readItself(const ReadJob &job);
+  std::optional<Environment::LogRead> readFeeder(const ReadJob &job);
   /// The daemon to ask instead of the log now.
   std::optional<std::string> feederNow(const ReadJob &job);
   void setFed(bool fed);
-  std::optional<Utils::Outcome<Platform::LogRead>> readLog(const ReadJob &job);
-  Utils::Outcome<Platform::LogRead> readPeers(const ReadJob &job);
-  Utils::Outcome<Platform::LogRead> askPeer(const std::string &daemon,
-                                            const ReadJob &job);
-  Platform::LogRead takeReply(const RecordsReply &reply, const ReadJob &job,
-                              Utils::TimePoint asked);
+  std::optional<Utils::Outcome<Environment::LogRead>>
+  readLog(const ReadJob &job);
+  Utils::Outcome<Environment::LogRead> readPeers(const ReadJob &job);
+  Utils::Outcome<Environment::LogRead> askPeer(const std::string &daemon,
+                                               const ReadJob &job);
+  Environment::LogRead takeReply(const RecordsReply &reply, const ReadJob &job,
+                                 Utils::TimePoint asked);
   bool fetchState(const std::string &daemon);
-  void keep(const std::vector<Platform::LogEntry> &entries);
+  void keep(const std::vector<Environment::LogEntry> &entries);
   std::string replyFrom(uint64_t from) const;
   void serveFollowers();
   /// Answers the daemons that lack what comes before `below`.
@@ -108,7 +109,7 @@
   std::condition_variable Changed;
   std::optional<ReadJob> Job;
   std::optional<ReadJob> Asked;
-  std::optional<Utils::Outcome<Platform::LogRead>> Result;
+  std::optional<Utils::Outcome<Environment::LogRead>> Result;
   /// Another daemon feeds this one, and when the log is next asked for its end.
   bool Fed = false;
   Utils::TimePoint EndDue;
--- a/src/libs/daemon/vmlistwatch.cpp
+++ b/src/libs/daemon/vmlistwatch.cpp
@@ -7,16 +7,16 @@
 constexpr Utils::Milliseconds VmListPeriod(1000);
 constexpr Utils::Milliseconds WantedPoll(100);
 
-History::EndpointChange changeOf(const Platform::Vm &vm,
+History::EndpointChange changeOf(const Environment::Vm &vm,
                                  History::Position fence) {
   History::EndpointChange change;
   change.ChangeId = Utils::randomId();
   change.Fence = fence;
   change.Endpoint = vm.Name;
-  change.Kind = vm.Kind == Platform::VmKind::Engine
+  change.Kind = vm.Kind == Environment::VmKind::Engine
                     ? History::EndpointKind::Engine
                     : History::EndpointKind::Service;
-  change.Life = vm.Life == Platform::VmLife::Leaving
+  change.Life = vm.Life == Environment::VmLife::Leaving
                     ? History::EndpointLife::Leaving
                     : History::EndpointLife::Live;
   change.Address = vm.Address;
@@ -39,12 +39,13 @@
 } // namespace
 
 std::vector<History::EndpointChange>
-vmListChanges(const History::State &state, const std::vector<Platform::Vm> &vms,
+vmListChanges(const History::State &state,
+              const std::vector<Environment::Vm> &vms,
               History::Position fence) {
   std::vector<History::EndpointChange> changes;
   std::set<std::string> listed;
-  for (const Platform::Vm &vm : vms) {
-    if (vm.Kind == Platform::VmKind::Entry)
+  for (const Environment::Vm &vm : vms) {
+    if (vm.Kind == Environment::VmKind::Entry)
       continue;
     listed.insert(vm.Name);
     History::EndpointChange change = changeOf(vm, fence);
@@ -66,11 +67,12 @@
   return changes;
 }
 
-std::vector<std::string> daemonsThatLeft(const std::vector<Platform::Vm> &vms,
-                                         std::set<std::string> &listed) {
+std::vector<std::string>
+daemonsThatLeft(const std::vector<Environment::Vm> &vms,
+                std::set<std::string> &listed) {
   std::set<std::string> now;
-  for (const Platform::Vm &vm : vms)
-    if (vm.Kind == Platform::VmKind::Entry)
+  for (const Environment::Vm &vm : vms)
+    if (vm.Kind == Environment::VmKind::Entry)
       now.insert(vm.Name);
   std::vector<std::string> left;
   for (const std::string &name : listed)
@@ -94,7 +96,7 @@
     Thread.join();
 }
 
-std::optional<std::vector<Platform::Vm>> VmListWatch::take() {
+std::optional<std::vector<Environment::Vm>> VmListWatch::take() {
   std::lock_guard lock(Mutex);
   return std::exchange(Newest, std::nullopt);
 }
--- a/src/libs/engine/engine.h
+++ b/src/libs/engine/engine.h
@@ -8,7 +8,6 @@
 
 #include <cstdint>
 #include <functional>
-#include <memory>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -111,17 +110,6 @@
   Endpoint Calls;
 };
 
-/// Connections that are kept between calls; thread-safe.
-class ConnectionPool;
-std::shared_ptr<ConnectionPool> makeConnectionPool();
-
-EngineApi makeHttpEngine(const std::string &host, uint16_t port,
-                         std::shared_ptr<ConnectionPool> connections);
-
-/// A plain service.
-Endpoint makeHttpService(const std::string &host, uint16_t port,
-                         std::shared_ptr<ConnectionPool> connections);
-
 } // namespace Engine
 
 #endif // ENGINE_ENGINE_H
--- a/src/libs/logsync/appender.cpp
+++ b/src/libs/logsync/appender.cpp
@@ -8,7 +8,7 @@
 
 namespace C = Constants;
 
-Appender::Appender(Platform::LogService log, History::StateStore &store,
+Appender::Appender(Environment::LogService log, History::StateStore &store,
                    Utils::Clock clock)
     : Log(std::move(log)), Store(store), Clock(std::move(clock)),
       Ring(C::AppendRingCapacity) {}
--- a/src/libs/logsync/appender.h
+++ b/src/libs/logsync/appender.h
@@ -1,8 +1,8 @@
 #ifndef LOGSYNC_APPENDER_H
 #define LOGSYNC_APPENDER_H
 
+#include "environment/environment.h"
 #include "history/history.h"
-#include "platform/platform.h"
 #include "utils/utils.h"
 
 #include <thread>
@@ -14,7 +14,7 @@
 /// the others are repeated, and the fold ignores a second copy.
 class Appender {
 public:
-  Appender(Platform::LogService log, History::StateStore &store,
+  Appender(Environment::LogService log, History::StateStore &store,
            Utils::Clock clock);
   ~Appender();
 
@@ -53,7 +53,7 @@
   /// Waits before the next try; false when there is to be none.
   bool pauseBefore(Utils::Milliseconds delay);
 
-  Platform::LogService Log;
+  Environment::LogService Log;
   History::StateStore &Store;
   Utils::Clock Clock;
   Utils::BoundedRing<Pending> Ring;
--- a/src/libs/logsync/follower.cpp
+++ b/src/libs/logsync/follower.cpp
@@ -7,7 +7,7 @@
 
 namespace C = Constants;
 
-Follower::Follower(Platform::LogService log, History::StateStore &store,
+Follower::Follower(Environment::LogService log, History::StateStore &store,
                    Utils::Clock clock)
     : Log(std::move(log)), Store(store), Clock(std::move(clock)) {}
 
@@ -74,7 +74,7 @@
         .warning();
     return beginAnew();
   }
-  for (const Platform::LogEntry &entry : read->Entries)
+  for (const Environment::LogEntry &entry : read->Entries)
     Store.applyAppend(entry.Offset, entry.Bytes);
   LastContact = asked.time_since_epoch().count();
   if (from + read->Entries.size() >= read->NextOffset)
--- a/src/libs/logsync/follower.h
+++ b/src/libs/logsync/follower.h
@@ -1,8 +1,8 @@
 #ifndef LOGSYNC_FOLLOWER_H
 #define LOGSYNC_FOLLOWER_H
 
+#include "environment/environment.h"
 #include "history/history.h"
-#include "platform/platform.h"
 #include "utils/utils.h"
 
 #include <atomic>
@@ -17,7 +17,7 @@
 /// records that it has not read.
 class Follower {
 public:
-  Follower(Platform::LogService log, History::StateStore &store,
+  Follower(Environment::LogService log, History::StateStore &store,
            Utils::Clock clock);
   ~Follower();
 
@@ -42,7 +42,7 @@
   bool beginAnew();
   void pause(Utils::Milliseconds delay);
 
-  Platform::LogService Log;
+  Environment::LogService Log;
   History::StateStore &Store;
   Utils::Clock Clock;
   std::atomic<bool> CaughtUp = false;
--- a/src/libs/logsync/snapshotreader.cpp
+++ b/src/libs/logsync/snapshotreader.cpp
@@ -12,8 +12,8 @@
   uint64_t Next = 0;
 };
 
-Utils::Outcome<Platform::LogRead> checkedRead(const Platform::LogService &log,
-                                              uint64_t from, uint32_t max) {
+Utils::Outcome<Environment::LogRead>
+checkedRead(const Environment::LogService &log, uint64_t from, uint32_t max) {
   auto read = log.Read(from, max, 0);
   if (!read)
     return read;
@@ -22,7 +22,7 @@
   return read;
 }
 
-Utils::Outcome<Bounds> readBounds(const Platform::LogService &log) {
+Utils::Outcome<Bounds> readBounds(const Environment::LogService &log) {
   auto read = checkedRead(log, 0, 1);
   if (!read)
     return read.error();
@@ -31,7 +31,7 @@
 
 /// Adds the chunks of the entries from `begin` up to `end` and notes in
 /// `bounds` what has expired meanwhile. True when a snapshot became whole.
-Utils::Outcome<bool> searchWindow(const Platform::LogService &log,
+Utils::Outcome<bool> searchWindow(const Environment::LogService &log,
                                   uint64_t begin, uint64_t end, Bounds &bounds,
                                   History::SnapshotAssembler &assembler) {
   bool whole = false;
@@ -42,7 +42,7 @@
     bounds.First = std::max(bounds.First, read->FirstRetained);
     if (read->Entries.empty() && read->FirstRetained <= from)
       return Utils::failure(Utils::Errc::Corrupt, "log: entries are missing");
-    for (const Platform::LogEntry &entry : read->Entries)
+    for (const Environment::LogEntry &entry : read->Entries)
       for (const History::Record &record : History::decodeRecords(entry.Bytes))
         if (const auto *chunk = std::get_if<History::SnapshotChunk>(&record))
           whole |= assembler.add(entry.Offset, *chunk);
@@ -53,7 +53,7 @@
 
 } // namespace
 
-Utils::Status checkRead(const Platform::LogRead &read, uint64_t from) {
+Utils::Status checkRead(const Environment::LogRead &read, uint64_t from) {
   using Utils::Errc;
   if (read.FirstRetained > read.NextOffset)
     return Utils::failure(Errc::Corrupt, "log: it ends before it begins");
@@ -66,7 +66,7 @@
   return Utils::success();
 }
 
-Utils::Outcome<Start> findStart(const Platform::LogService &log) {
+Utils::Outcome<Start> findStart(const Environment::LogService &log) {
   auto known = readBounds(log);
   if (!known)
     return known.error();
--- a/src/libs/logsync/snapshotreader.h
+++ b/src/libs/logsync/snapshotreader.h
@@ -1,8 +1,8 @@
 #ifndef LOGSYNC_SNAPSHOTREADER_H
 #define LOGSYNC_SNAPSHOTREADER_H
 
+#include "environment/environment.h"
 #include "history/history.h"
-#include "platform/platform.h"
 
 namespace LogSync {
 
@@ -18,11 +18,11 @@
 /// Finds the newest whole snapshot whose tail is retained, searching from the
 /// end of the log. Errc::OutOfRange when the beginning of the log has expired
 /// and no snapshot takes its place; otherwise the failure of the log.
-Utils::Outcome<Start> findStart(const Platform::LogService &log);
+Utils::Outcome<Start> findStart(const Environment::LogService &log);
 
 /// Checks that an answer of the log holds consecutive entries from the offset
 /// asked, within the bounds it names. Errc::Corrupt when it does not.
-Utils::Status checkRead(const Platform::LogRead &read, uint64_t from);
+Utils::Status checkRead(const Environment::LogRead &read, uint64_t from);
 
 } // namespace LogSync
 
--- a/src/tools/benchmarks/benchhistory.cpp
+++ b/src/tools/benchmarks/benchhistory.cpp
@@ -23,11 +23,11 @@
 }
 
 /// The log in memory; counts the bytes that it gives out.
-Platform::LogService serviceOf(const DayOfHistory &from, uint64_t &bytes) {
-  Platform::LogService log;
+Environment::LogService serviceOf(const DayOfHistory &from, uint64_t &bytes) {
+  Environment::LogService log;
   log.Read = [&](uint64_t begin, uint32_t max,
-                 uint32_t) -> Utils::Outcome<Platform::LogRead> {
-    Platform::LogRead read;
+                 uint32_t) -> Utils::Outcome<Environment::LogRead> {
+    Environment::LogRead read;
     read.NextOffset = from.Appends.size();
     uint64_t end = std::min<uint64_t>(read.NextOffset, begin + max);
     for (uint64_t i = begin; i < end; ++i) {
@@ -39,7 +39,7 @@
   return log;
 }
 
-void follow(const Platform::LogService &log, History::StateStore &store) {
+void follow(const Environment::LogService &log, History::StateStore &store) {
   LogSync::Follower follower(log, store, {});
   while (!follower.caughtUp())
     follower.readOnce();
--- a/src/tools/standins/enginestandin.cpp
+++ b/src/tools/standins/enginestandin.cpp
@@ -253,11 +253,9 @@
                       {"fence", held.Fence},
                       {"running", held.Running},
                       {"served", held.Served}});
-  return {{"models", models},
-          {"memory_used_mb", usedMb()},
-          {"cached_on_disk", OnDisk},
-          {"cached_in_memory", InMemory},
-          {"running", Running.load()}};
+  return {{"models", models},          {"memory_used_mb", usedMb()},
+          {"cached_on_disk", OnDisk},  {"cached_in_memory", InMemory},
+          {"running", Running.load()}, {"queued", 0}};
 }
 
 void EngineStandin::changed() {
--- a/tests/auto/engine/tst_engine.cpp
+++ b/tests/auto/engine/tst_engine.cpp
@@ -22,8 +22,8 @@
 };
 
 Engine::Endpoint serviceAt(uint16_t port) {
-  return Engine::makeHttpService("127.0.0.1", port,
-                                 Engine::makeConnectionPool());
+  return Platform::makeHttpService("127.0.0.1", port,
+                                   Platform::makeConnectionPool());
 }
 
 Engine::Call callWith(const std::string &id) {
@@ -237,8 +237,8 @@
   ScriptedServer server([&](const SeenRequest &) {
     return ScriptedReply{wholeAnswer("", body), true};
   });
-  auto engine = Engine::makeHttpEngine("127.0.0.1", server.port(),
-                                       Engine::makeConnectionPool());
+  auto engine = Platform::makeHttpEngine("127.0.0.1", server.port(),
+                                         Platform::makeConnectionPool());
   auto store = Platform::makeHttpWeightStore("127.0.0.1", server.port());
   auto vms = Platform::makeHttpVmList("127.0.0.1", server.port());
   for (const char *it : {R"({"running":"x"})", R"({"running":null})", "7",
@@ -265,7 +265,7 @@
   body = "null";
   CHECK_FALSE(vms.List());
   auto row = [](const std::string &kind, const std::string &state) {
-    return R"({"name":"v","address":"127.0.0.1","port":1,)"
+    return R"({"name":"v","address":"127.0.0.1","port":1,"memory_mb":9,)"
            R"("failure_domain":"a","kind":")" +
            kind + R"(","state":")" + state + "\"}";
   };
@@ -274,6 +274,45 @@
   auto list = vms.List();
   REQUIRE(list);
   REQUIRE(list->size() == 2);
-  CHECK((*list)[0].Life == Platform::VmLife::Live);
-  CHECK((*list)[1].Life == Platform::VmLife::Leaving);
+  CHECK((*list)[0].Life == Environment::VmLife::Live);
+  CHECK((*list)[1].Life == Environment::VmLife::Leaving);
+}
+
+TEST_CASE("VM list, an engine without its memory, is no list rather than an "
+          "engine of none") {
+  ScriptedServer server([&](const SeenRequest &) {
+    return ScriptedReply{
+        wholeAnswer("", R"([{"name":"v","address":"127.0.0.1","port":1,)"
+                        R"("failure_domain":"a","kind":"engine",)"
+                        R"("state":"live"}])"),
+        true};
+  });
+  auto list = Platform::makeHttpVmList("127.0.0.1", server.port()).List();
+  REQUIRE_FALSE(list);
+  CHECK(list.error().What.find("memory_mb") != std::string::npos);
+}
+
+TEST_CASE("engine report, a replica in an unknown state or without the memory "
+          "used, is corrupt and names what is wrong") {
+  std::string phase = "hibernating";
+  std::string memory = R"(,"memory_used_mb":5)";
+  ScriptedServer server([&](const SeenRequest &) {
+    return ScriptedReply{
+        wholeAnswer("", R"({"running":0,"queued":0,"models":[{"model":"m",)"
+                        R"("replica":"r","fence":1,"running":0,"served":0,)"
+                        R"("state":")" +
+                            phase + "\"}]" + memory + "}"),
+        true};
+  });
+  auto engine = Platform::makeHttpEngine("127.0.0.1", server.port(),
+                                         Platform::makeConnectionPool());
+  auto report = engine.State();
+  REQUIRE_FALSE(report);
+  CHECK(report.error().What.find("hibernating") != std::string::npos);
+  phase = "ready";
+  REQUIRE(engine.State());
+  memory.clear();
+  report = engine.State();
+  REQUIRE_FALSE(report);
+  CHECK(report.error().What.find("memory_used_mb") != std::string::npos);
 }
--- a/tests/auto/logsync/memorylog.h
+++ b/tests/auto/logsync/memorylog.h
@@ -1,8 +1,8 @@
 #ifndef MEMORYLOG_H
 #define MEMORYLOG_H
 
+#include "environment/environment.h"
 #include "history/history.h"
-#include "platform/platform.h"
 
 #include <condition_variable>
 #include <functional>
@@ -11,7 +11,7 @@
 /// The platform's log in memory. Thread-safe; faults are switched by members.
 class MemoryLog {
 public:
-  Platform::LogService service() {
+  Environment::LogService service() {
     return {[this](const std::string &bytes) { return append(bytes); },
             [this](uint64_t from, uint32_t max, uint32_t /*waitMs*/) {
               return read(from, max);
@@ -33,11 +33,11 @@
     return Utils::failure(Utils::Errc::UnknownResult, "answer lost");
   }
 
-  Utils::Outcome<Platform::LogRead> read(uint64_t from, uint32_t max) {
+  Utils::Outcome<Environment::LogRead> read(uint64_t from, uint32_t max) {
     std::lock_guard lock(Mutex);
     if (Outage)
       return Utils::failure(Utils::Errc::Unavailable, "outage");
-    Platform::LogRead result;
+    Environment::LogRead result;
     result.FirstRetained = First;
     result.NextOffset = Records.size();
     for (uint64_t i = from;
@@ -76,7 +76,7 @@
   /// Runs before an append takes effect; may append what another caller sent.
   std::function<void(std::vector<std::string> &)> BeforeAppend;
   /// Changes the answer to a read.
-  std::function<void(Platform::LogRead &)> Spoil;
+  std::function<void(Environment::LogRead &)> Spoil;
   uint64_t Attempts = 0;
 
 private:
--- a/tests/auto/logsync/tst_logfeed.cpp
+++ b/tests/auto/logsync/tst_logfeed.cpp
@@ -45,8 +45,8 @@
                                "d9", "127.0.0.1", 1, ""}}));
     Changed.notify_all();
   }
-  Platform::LogService service(std::atomic<int> &waits) {
-    Platform::LogService log;
+  Environment::LogService service(std::atomic<int> &waits) {
+    Environment::LogService log;
     log.Append = [](const std::string &) -> Utils::Outcome<uint64_t> {
       return Utils::failure(Utils::Errc::Unavailable, "read only");
     };
@@ -55,12 +55,12 @@
       std::unique_lock lock(Mutex);
       Changed.wait_for(lock, Utils::Milliseconds(waitMs),
                        [&] { return from < Records.size(); });
-      Platform::LogRead read;
+      Environment::LogRead read;
       read.FirstRetained = First;
       read.NextOffset = Records.size();
       for (uint64_t i = from; i < Records.size() && i < from + max; ++i)
         read.Entries.push_back({i, Records[i]});
-      return Utils::Outcome<Platform::LogRead>(read);
+      return Utils::Outcome<Environment::LogRead>(read);
     };
     return log;
   }
--- a/tests/auto/logsync/tst_logsync.cpp
+++ b/tests/auto/logsync/tst_logsync.cpp
@@ -3,6 +3,7 @@
 #include "logsync/backoff.h"
 #include "logsync/logsync.h"
 #include "logsync/logsyncconstants.h"
+#include "platform/platform.h"
 
 #include "standins/logstandin.h"
 
@@ -123,7 +124,7 @@
   Follower follower(Log.service(), store, {});
   REQUIRE(follower.readOnce());
   edits(5, 10);
-  std::vector<std::function<void(Platform::LogRead &)>> spoils = {
+  std::vector<std::function<void(Environment::LogRead &)>> spoils = {
       [](auto &read) { read.Entries.erase(read.Entries.begin()); },
       [](auto &read) { std::swap(read.Entries[0], read.Entries[1]); },
       [](auto &read) { read.Entries[1].Offset = 0; },
--- a/tests/auto/logsync/tst_peerreads.cpp
+++ b/tests/auto/logsync/tst_peerreads.cpp
@@ -14,8 +14,8 @@
   bool ReadWaits = false;
   bool LetGo = false;
 
-  Platform::LogService service() {
-    Platform::LogService log;
+  Environment::LogService service() {
+    Environment::LogService log;
     log.Append = [](const std::string &) -> Utils::Outcome<uint64_t> {
       return Utils::failure(Utils::Errc::Unavailable, "read only");
     };
@@ -25,7 +25,7 @@
       Changed.notify_all();
       if (waitMs > 0)
         Changed.wait(lock, [this] { return LetGo; });
-      return Utils::Outcome<Platform::LogRead>(Platform::LogRead());
+      return Utils::Outcome<Environment::LogRead>(Environment::LogRead());
     };
     return log;
   }
--- a/tests/auto/orders/memorylog.h
+++ b/tests/auto/orders/memorylog.h
@@ -1,7 +1,7 @@
 #ifndef TESTS_MEMORYLOG_H
 #define TESTS_MEMORYLOG_H
 
-#include "platform/platform.h"
+#include "environment/environment.h"
 
 #include <atomic>
 #include <condition_variable>
@@ -21,7 +21,7 @@
   struct View {
     std::shared_ptr<std::atomic<bool>> Cut =
         std::make_shared<std::atomic<bool>>(false);
-    Platform::LogService Service;
+    Environment::LogService Service;
   };
 
   View view() {
@@ -55,14 +55,14 @@
     return Entries.size() - 1;
   }
 
-  Utils::Outcome<Platform::LogRead> read(uint64_t from, uint32_t max,
-                                         bool cut) {
+  Utils::Outcome<Environment::LogRead> read(uint64_t from, uint32_t max,
+                                            bool cut) {
     constexpr std::chrono::milliseconds wait(20);
     std::unique_lock lock(Mutex);
     Changed.wait_for(lock, wait, [&] { return Entries.size() > from; });
     if (cut)
       return Utils::failure(Utils::Errc::Unavailable, "cut off");
-    Platform::LogRead read;
+    Environment::LogRead read;
     read.NextOffset = Entries.size();
     for (uint64_t i = from; i < Entries.size() && i < from + max; ++i)
       read.Entries.push_back({i, Entries[i]});
