Log every decision on a request without ever waiting for the reader

Loss and return of a dependency could not be told from its many failures.

Change: Utils::EventLog, a bounded ring to one writer of standard output, with a budget for each event and counts of what was dropped or held back. Lines for admission, tokens, waits, attempts, orders, answers and the ends of streams, each with the request's id, its inputs and their age. Utils::Dependency logs the first failure and the first answer after it. Also: a request that waits for a replica registered itself anew at each look, because the handle that it tested converts to false.

Measured: tst_eventlog with a pipe that nobody reads: 40,000 reports end, and written and dropped lines add up (red in the first build: the count was lost when the ring closed). tst_process explaining.cpp: a cold start, a request over its burst and an order of unknown outcome explained from the logs alone; 300 of 300 calls served while nobody reads the output.

--- a/cmake/HickoryTargets.cmake
+++ b/cmake/HickoryTargets.cmake
@@ -59,8 +59,8 @@
 endfunction()
 
 # hickory_process_test(NAME TEST FILTER...): registers the cases of tst_TEST that doctest's filters choose. They start
-# processes that mostly wait, so that some of these tests may run side by side.
+# processes that mostly wait, so that some of these tests may run side by side; they begin first, as they take longest.
 function(hickory_process_test name test)
   add_test(NAME ${name} COMMAND tst_${test} ${ARGN})
-  set_tests_properties(${name} PROPERTIES TIMEOUT 300 PROCESSORS 2)
+  set_tests_properties(${name} PROPERTIES TIMEOUT 300 PROCESSORS 2 COST 50)
 endfunction()
--- a/src/app/commandline.cpp
+++ b/src/app/commandline.cpp
@@ -8,6 +8,7 @@
 ABSL_FLAG(std::string, actor, "",
           "who makes the edit; the login name if empty");
 ABSL_FLAG(std::string, admin, "", "admin address IP:PORT of a daemon");
+ABSL_FLAG(std::string, id, "", "explain: id of the request");
 ABSL_FLAG(bool, json, false, "print JSON for programs");
 ABSL_FLAG(bool, delete_missing, false,
           "import: delete rows that the sheet leaves out");
@@ -30,6 +31,10 @@
        runStatus},
       {"audit", "audit [orders] --admin IP:PORT [--json]",
        "who changed what, accepted or refused", runAudit},
+      {"explain", "explain --id ID [LOG...]",
+       "the lines of one request in the daemons' logs, or standard input, and "
+       "the cause of its outcome",
+       runExplain},
   };
   return table;
 }
@@ -43,7 +48,8 @@
   if (text.empty())
     return helpText("");
   return "usage:\n" + text +
-         "flags: --settings --table --actor --admin --json --delete_missing "
+         "flags: --settings --table --actor --admin --id --json "
+         "--delete_missing "
          "--reference\n"
          "exit codes: 0 done, 1 refused or faulty, 2 wrong usage, 3 no "
          "answer\n";
--- a/src/app/commandline.h
+++ b/src/app/commandline.h
@@ -9,6 +9,7 @@
 ABSL_DECLARE_FLAG(std::string, table);
 ABSL_DECLARE_FLAG(std::string, actor);
 ABSL_DECLARE_FLAG(std::string, admin);
+ABSL_DECLARE_FLAG(std::string, id);
 ABSL_DECLARE_FLAG(bool, json);
 ABSL_DECLARE_FLAG(bool, delete_missing);
 ABSL_DECLARE_FLAG(bool, reference);
@@ -32,6 +33,7 @@
 ExitCode runCheck(const Words &words);
 ExitCode runStatus(const Words &words);
 ExitCode runAudit(const Words &words);
+ExitCode runExplain(const Words &words);
 
 struct Command {
   const char *Name;
--- a/src/app/servecommand.cpp
+++ b/src/app/servecommand.cpp
@@ -8,6 +8,7 @@
 #include <cerrno>
 #include <csignal>
 #include <iostream>
+#include <unistd.h>
 
 namespace App {
 
@@ -51,6 +52,7 @@
   if (!loaded.Faults.empty())
     return ExitCode::Refused;
   sigset_t signals = blockStopSignals();
+  Utils::EventLog log(STDOUT_FILENO, loaded.Values.Name);
   Daemon::Process process(std::move(loaded.Values));
   if (Utils::Status status = process.start(); !status) {
     std::cerr << "hickoryspring: " << status.error().What << '\n';
--- a/src/libs/daemon/admit.cpp
+++ b/src/libs/daemon/admit.cpp
@@ -25,18 +25,32 @@
 void noteTooLate(const Ticket &ticket, const Admission::LoadView &view,
                  Utils::TimePoint now) {
   Utils::Event("too_late")
+      .with("id", ticket.requestId())
       .with("team", ticket.team())
       .with("model", ticket.model())
-      .with("left_ms", std::chrono::duration_cast<Utils::Milliseconds>(
-                           ticket.deadline() - now)
-                           .count())
+      .with("left_ms", Utils::msBetween(now, ticket.deadline()))
       .with("ready_ms", view.ReadyInMs ? int64_t(*view.ReadyInMs) : -1)
       .with("running", view.Running)
       .with("capacity", view.Capacity)
       .with("queued_ahead", view.QueuedAhead)
       .with("service_ms", view.ServiceMs)
       .with("shortest_ms", view.ShortestMs)
-      .info();
+      .warning();
+}
+
+void noteNoTokens(const Ticket &ticket, uint64_t needed,
+                  const TokenGrant &grant, Utils::TimePoint arrived,
+                  Utils::TimePoint now) {
+  Utils::Event("tokens_refused")
+      .with("id", ticket.requestId())
+      .with("team", ticket.team())
+      .with("needed", needed)
+      .with("over_burst", grant.OverBurst)
+      .with("no_holder", grant.NoHolder)
+      .with("link", linkMessage(grant.Link))
+      .with("retry_after_ms", grant.RetryAfterMs)
+      .with("waited_ms", Utils::msBetween(arrived, now))
+      .warning();
 }
 
 } // namespace
@@ -53,6 +67,8 @@
                                               const std::string &team,
                                               const std::string &model) {
   auto ticket = std::make_shared<Ticket>();
+  ticket->RequestId = request.Id;
+  ticket->Arrived = Ports.Clock.Now();
   ticket->Model = model;
   ticket->Deadline = request.Deadline;
   ticket->Tokens.Team = team;
@@ -69,13 +85,32 @@
   }
   if (auto refusal = takeTokens(*ticket))
     return *refusal;
+  ticket->Granted = Ports.Clock.Now();
   ticket->Owner = this;
   if (auto refusal = awaitTurn(*ticket))
     return *refusal;
   ticket->Started = Ports.Clock.Now();
+  noteAdmitted(*ticket, view);
   return ticket;
 }
 
+void Admit::noteAdmitted(const Ticket &ticket,
+                         const Admission::LoadView &view) const {
+  Utils::Event("admitted")
+      .with("id", ticket.RequestId)
+      .with("team", ticket.team())
+      .with("model", ticket.Model)
+      .with("left_ms", Utils::msBetween(ticket.Arrived, ticket.Deadline))
+      .with("ready_ms", view.ReadyInMs ? int64_t(*view.ReadyInMs) : -1)
+      .with("running", view.Running)
+      .with("capacity", view.Capacity)
+      .with("queued_ahead", view.QueuedAhead)
+      .with("tokens", ticket.Cost.total())
+      .with("tokens_wait_ms", Utils::msBetween(ticket.Arrived, ticket.Granted))
+      .with("turn_wait_ms", Utils::msBetween(ticket.Granted, ticket.Started))
+      .info();
+}
+
 std::optional<Refusal> Admit::takeTokens(Ticket &ticket) {
   const std::string team = ticket.Tokens.Team;
   TokenGrant grant = Limits.acquire(team, ticket.Cost.total(), ticket.Deadline);
@@ -83,6 +118,8 @@
     ticket.Tokens = std::move(*grant.Tokens);
     return std::nullopt;
   }
+  noteNoTokens(ticket, ticket.Cost.total(), grant, ticket.Arrived,
+               Ports.Clock.Now());
   if (grant.NoHolder)
     return refused(Reason::HistoryUnavailable, team, grant.RetryAfterMs,
                    std::string(linkMessage(grant.Link)));
--- a/src/libs/daemon/admit.h
+++ b/src/libs/daemon/admit.h
@@ -31,6 +31,7 @@
 public:
   ~Ticket();
 
+  const std::string &requestId() const { return RequestId; }
   const std::string &team() const { return Tokens.Team; }
   const std::string &model() const { return Model; }
   Utils::TimePoint deadline() const { return Deadline; }
@@ -40,10 +41,14 @@
   friend class MeteredStream;
 
   class Admit *Owner = nullptr;
+  std::string RequestId;
   std::string Model;
   Limits::Reservation Tokens;
   Admission::RequestCost Cost;
   Utils::TimePoint Deadline;
+  /// When the request came, when it had its tokens, and when its turn.
+  Utils::TimePoint Arrived;
+  Utils::TimePoint Granted;
   Utils::TimePoint Started;
   uint64_t Turn = 0;
   bool Running = false;
@@ -103,6 +108,8 @@
                                const std::string &requestId);
   FrontDoor::Refusal refused(FrontDoor::Reason why, const std::string &team,
                              uint32_t retryAfterMs, std::string message);
+  void noteAdmitted(const Ticket &ticket,
+                    const Admission::LoadView &view) const;
 
   AdmitPorts Ports;
   LimitsDuty &Limits;
--- a/src/libs/daemon/currency.cpp
+++ b/src/libs/daemon/currency.cpp
@@ -83,6 +83,7 @@
   AnsweredAt = Clock.Now();
   Own.note(reading);
   FailedSince.reset();
+  Log.noteAnswer();
 }
 
 void LogContact::noteTold(const Peers::LogReading &reading) {
@@ -90,8 +91,9 @@
   Told.note(reading);
 }
 
-void LogContact::noteFailure() {
+void LogContact::noteFailure(std::string_view why) {
   std::lock_guard lock(Mutex);
+  Log.noteFailure(why);
   if (!FailedSince)
     FailedSince = Clock.Now();
 }
--- a/src/libs/daemon/currency.h
+++ b/src/libs/daemon/currency.h
@@ -3,6 +3,7 @@
 
 #include "peers/gossip.h"
 #include "utils/clock.h"
+#include "utils/dependency.h"
 
 #include <deque>
 #include <mutex>
@@ -69,7 +70,7 @@
   /// The log answered a read asked for at `reading.At`.
   void noteOwn(const Peers::LogReading &reading);
   void noteTold(const Peers::LogReading &reading);
-  void noteFailure();
+  void noteFailure(std::string_view why);
 
   /// Readings for the decision of a daemon that holds so much.
   std::optional<Peers::LogReading> own(uint64_t held) const;
@@ -89,6 +90,7 @@
 
   Utils::Clock Clock;
   mutable std::mutex Mutex;
+  Utils::Dependency Log{"log", Clock};
   /// When the log last answered; at first when this daemon started.
   Utils::TimePoint AnsweredAt;
   Readings Own;
--- a/src/libs/daemon/daemon.cpp
+++ b/src/libs/daemon/daemon.cpp
@@ -42,6 +42,10 @@
   Answer answer(const Request &request);
   Answer route(const Request &request);
   Answer readiness();
+  void noteAnswer(const Request &request, const Answer &answer,
+                  Utils::TimePoint begin);
+  void noteStreamEnd(const std::string &id, Answer &answer,
+                     Utils::TimePoint begin);
   bool startAdmin();
 };
 
@@ -83,18 +87,68 @@
 Answer Process::Content::answer(const Request &request) {
   Utils::TimePoint begin = Shared.Clock.Now();
   Answer answer = route(request);
+  if (FrontDoor::isProbe(request.Path))
+    return answer;
   std::chrono::duration<double> spent = Shared.Clock.Now() - begin;
   std::string labels = "status=\"" + std::to_string(answer.Status) + "\"";
   Shared.Metrics.add("hickory_requests_total", labels);
   Shared.Metrics.observe("hickory_first_byte_seconds", spent.count());
-  Utils::Event("request")
-      .with("id", request.Id)
+  noteAnswer(request, answer, begin);
+  if (answer.Stream)
+    noteStreamEnd(request.Id, answer, begin);
+  return answer;
+}
+
+/// The outcome of a request, with the version and age of the state that
+/// decided it.
+void Process::Content::noteAnswer(const Request &request, const Answer &answer,
+                                  Utils::TimePoint begin) {
+  Utils::TimePoint now = Shared.Clock.Now();
+  uint64_t offset = Shared.Store.read(
+      [](const History::State &state) { return state.NextOffset; });
+  Utils::Event event("request");
+  event.with("id", request.Id)
       .with("method", request.Method)
       .with("path", request.Path)
       .with("status", answer.Status)
-      .with("ms", spent.count() * 1e3)
-      .info();
-  return answer;
+      .with("ms", Utils::msBetween(begin, now))
+      .with("left_ms", Utils::msBetween(now, request.Deadline))
+      .with("log_offset", offset)
+      .with("log_silent_ms",
+            Utils::msBetween(Shared.Follower->lastContact(), now));
+  if (!answer.Refused) {
+    event.info();
+    return;
+  }
+  event.with("reason", FrontDoor::reasonName(answer.Refused->Why))
+      .with("run_state", FrontDoor::runStateName(answer.Refused->Ran))
+      .with("retry_after_ms", answer.Refused->RetryAfterMs)
+      .with("message", answer.Refused->Message)
+      .warning();
+}
+
+/// Logs the end of a stream, whose outcome is known long after its head.
+void Process::Content::noteStreamEnd(const std::string &id, Answer &answer,
+                                     Utils::TimePoint begin) {
+  auto inner = std::move(answer.Stream);
+  answer.Stream = [this, id, begin, inner = std::move(inner)](
+                      const FrontDoor::PieceWriter &write) {
+    size_t bytes = 0;
+    bool callerLeft = false;
+    bool whole = inner([&](std::string_view piece) {
+      bytes += piece.size();
+      callerLeft = !write(piece);
+      return !callerLeft;
+    });
+    Utils::Event event("stream_ended");
+    event.with("id", id)
+        .with("whole", whole)
+        .with("caller_left", callerLeft)
+        .with("bytes", bytes)
+        .with("ms", Utils::msBetween(begin, Shared.Clock.Now()));
+    whole ? event.info() : event.warning();
+    return whole;
+  };
 }
 
 bool Process::Content::startAdmin() {
--- a/src/libs/daemon/dispatch.cpp
+++ b/src/libs/daemon/dispatch.cpp
@@ -72,6 +72,29 @@
   std::string Message;
 };
 
+void noteAttempt(Context &context, const Request &request, const Target &target,
+                 size_t attempt, const Delivery &result,
+                 Utils::TimePoint begin) {
+  auto reading = context.Loads.reading(target.Name);
+  Utils::TimePoint now = context.Clock.Now();
+  Utils::Event event("attempt");
+  event.with("id", request.Id)
+      .with("endpoint", target.Name)
+      .with("attempt", attempt)
+      .with("ms", Utils::msBetween(begin, now))
+      .with("outstanding", context.Clients.outstanding(target.Name))
+      .with("load", reading ? int64_t(reading->Load) : -1)
+      .with("load_age_ms", reading ? Utils::msBetween(reading->At, now) : -1);
+  if (result.Done) {
+    event.with("status", result.Done->Status).info();
+    return;
+  }
+  event.with("reason", FrontDoor::reasonName(result.Why))
+      .with("run_state", FrontDoor::runStateName(result.Ran))
+      .with("message", result.Message)
+      .warning();
+}
+
 Delivery deliver(const Request &request, const Exchange &exchange) {
   if (!exchange.answered())
     return {std::nullopt, exchange.Ran, exchange.Why, exchange.Message};
@@ -111,11 +134,13 @@
     std::optional<Target> target = choose(excluded);
     if (!target)
       break;
+    Utils::TimePoint begin = context.Clock.Now();
     Engine::Call call = callOf(request, deadline);
     call.Repeatable = true;
     Exchange attempt = exchange(context, *target, std::move(call),
                                 request.CallerLeft, keyHash);
     last = deliver(request, attempt);
+    noteAttempt(context, request, *target, excluded.size() + 1, last, begin);
     bool callerLeft = request.CallerLeft && request.CallerLeft();
     if (!callerLeft)
       context.Outliers.record(target->Name,
--- a/src/libs/daemon/endpointworker.cpp
+++ b/src/libs/daemon/endpointworker.cpp
@@ -77,8 +77,13 @@
   if (Closing)
     return result;
   if (it.Kind == EndpointJobKind::Report) {
-    if (auto report = Api.State())
-      result.Report = std::move(report.value());
+    auto report = Api.State();
+    if (!report) {
+      Reports.noteFailure(report.error().What);
+      return result;
+    }
+    Reports.noteAnswer();
+    result.Report = std::move(report.value());
     return result;
   }
   if (!MayAct())
--- a/src/libs/daemon/endpointworker.h
+++ b/src/libs/daemon/endpointworker.h
@@ -54,6 +54,7 @@
   Engine::EngineApi Api;
   std::function<bool()> MayAct;
   EndpointResults &Results;
+  Utils::Dependency Reports{"reports of " + Endpoint, {}};
   Utils::BoundedRing<EndpointJob> Jobs;
   std::atomic<bool> Closing = false;
   std::atomic<bool> Finished = false;
--- a/src/libs/daemon/loadwatch.cpp
+++ b/src/libs/daemon/loadwatch.cpp
@@ -95,7 +95,7 @@
     return !it.second.Asked && wanted.count(it.first) == 0;
   });
   for (const std::string &name : names) {
-    Watch &watch = Watches[name];
+    Watch &watch = Watches.try_emplace(name, name).first->second;
     if (!watch.Asked && now >= watch.NextAt)
       watch.Asked = Jobs.tryPush(std::string(name));
   }
@@ -138,14 +138,19 @@
     return Shared.Clients.engine(state, endpoint);
   });
   Utils::TimePoint askedAt = Shared.Clock.Now();
-  bool done = false;
+  std::optional<Utils::Outcome<Engine::UsageReport>> usage;
   if (api && api->Usage)
-    if (auto usage = api->Usage()) {
-      Shared.Loads.note(endpoint, {usage->Running + usage->Queued, askedAt});
-      done = true;
-    }
+    usage = api->Usage();
+  bool done = usage && *usage;
+  if (done)
+    Shared.Loads.note(endpoint,
+                      {(*usage)->Running + (*usage)->Queued, askedAt});
   std::lock_guard lock(Mutex);
-  Watch &watch = Watches[endpoint];
+  Watch &watch = Watches.try_emplace(endpoint, endpoint).first->second;
+  if (done)
+    watch.Source.noteAnswer();
+  else if (usage)
+    watch.Source.noteFailure(usage->error().What);
   watch.Asked = false;
   watch.NextAt = done ? askedAt : Shared.Clock.Now() + FailurePause;
 }
--- a/src/libs/daemon/loadwatch.h
+++ b/src/libs/daemon/loadwatch.h
@@ -30,6 +30,10 @@
 
 private:
   struct Watch {
+    explicit Watch(const std::string &endpoint)
+        : Source("load of " + endpoint, {}) {}
+
+    Utils::Dependency Source;
     bool Asked = false;
     Utils::TimePoint NextAt;
   };
--- a/src/libs/daemon/modelcalls.cpp
+++ b/src/libs/daemon/modelcalls.cpp
@@ -133,7 +133,7 @@
 Answer ModelCalls::forward(const Request &request, const std::string &team,
                            const std::string &model) {
   if (auto refusal = waitForReplica(
-          model, team, refuseBy(Shared.Clock.Now(), request.Deadline)))
+          request, model, team, refuseBy(Shared.Clock.Now(), request.Deadline)))
     return refusalAnswer(*refusal, request.Id);
   uint64_t prefix = Routing::prefixHash(model, promptOf(request.Body));
   return forwardIdempotent(
@@ -144,17 +144,22 @@
       Utils::strongHash(request.BearerKey));
 }
 
-std::optional<Refusal> ModelCalls::waitForReplica(const std::string &model,
+std::optional<Refusal> ModelCalls::waitForReplica(const Request &request,
+                                                  const std::string &model,
                                                   const std::string &team,
                                                   Utils::TimePoint deadline) {
   auto isReady = [&](const History::State &state) {
     return !Shared.Replicas.ready(state, model, Shared.Clock.Now()).empty();
   };
-  std::shared_ptr<void> waiting;
+  std::optional<std::shared_ptr<void>> waiting;
   std::optional<uint32_t> late;
+  Utils::TimePoint begin = Shared.Clock.Now();
   while (!late && Shared.Clock.Now() < deadline) {
-    if (Shared.Store.read(isReady))
+    if (Shared.Store.read(isReady)) {
+      if (waiting)
+        noteReplicaWait(request, model, begin, "ready");
       return std::nullopt;
+    }
     if (!waiting)
       waiting = Shared.Waiting.add(model, team, deadline);
     demand(model, deadline);
@@ -169,20 +174,44 @@
   }
   if (late) {
     Utils::Event("load_too_late")
+        .with("id", request.Id)
         .with("team", team)
         .with("model", model)
-        .with("left_ms", std::chrono::duration_cast<Utils::Milliseconds>(
-                             deadline - Shared.Clock.Now())
-                             .count())
+        .with("left_ms", Utils::msBetween(Shared.Clock.Now(), deadline))
         .with("ready_ms", *late)
-        .info();
+        .warning();
     return Refusal{Reason::DeadlineTooShort, RunState::NotRun, *late,
                    "the model's load takes too long for the deadline"};
   }
+  noteReplicaWait(request, model, begin, "none");
   return Refusal{Reason::NoCapacity, RunState::NotRun, RetryAfterMs,
                  "the model could not be loaded in time"};
 }
 
+/// Says how long the request waited for a replica, and what the agreed state
+/// held of the model's replicas at the end.
+void ModelCalls::noteReplicaWait(const Request &request,
+                                 const std::string &model,
+                                 Utils::TimePoint begin,
+                                 std::string_view outcome) const {
+  std::map<History::ReplicaPhase, int> phases;
+  bool isDemanded = Shared.Store.read([&](const History::State &state) {
+    for (const auto &[id, replica] : state.Replicas)
+      if (replica.Model == model)
+        ++phases[replica.Phase];
+    return state.Demands.count(model) > 0;
+  });
+  Utils::Event("replica_awaited")
+      .with("id", request.Id)
+      .with("model", model)
+      .with("outcome", outcome)
+      .with("waited_ms", Utils::msBetween(begin, Shared.Clock.Now()))
+      .with("loading", phases[History::ReplicaPhase::Loading])
+      .with("unloading", phases[History::ReplicaPhase::Unloading])
+      .with("demanded", isDemanded)
+      .info();
+}
+
 std::optional<uint32_t> ModelCalls::lateLoad(const History::State &state,
                                              const std::string &model,
                                              Utils::TimePoint deadline) const {
--- a/src/libs/daemon/modelcalls.h
+++ b/src/libs/daemon/modelcalls.h
@@ -20,9 +20,12 @@
                             const std::string &team, const std::string &model);
   /// Asks for the model and waits until a replica is ready. Refuses at the
   /// deadline, or once the load can no longer make it.
-  std::optional<FrontDoor::Refusal> waitForReplica(const std::string &model,
-                                                   const std::string &team,
-                                                   Utils::TimePoint deadline);
+  std::optional<FrontDoor::Refusal>
+  waitForReplica(const FrontDoor::Request &request, const std::string &model,
+                 const std::string &team, Utils::TimePoint deadline);
+  void noteReplicaWait(const FrontDoor::Request &request,
+                       const std::string &model, Utils::TimePoint begin,
+                       std::string_view outcome) const;
   /// When the model may be ready, milliseconds, if that misses the deadline.
   std::optional<uint32_t> lateLoad(const History::State &state,
                                    const std::string &model,
--- a/src/libs/daemon/peerdutylog.cpp
+++ b/src/libs/daemon/peerdutylog.cpp
@@ -170,7 +170,7 @@
                           : Utils::Milliseconds(job.WaitMs) + LogMargin;
   Changed.wait_for(lock, patience, [this] { return Result || Stopping; });
   if (!Result) {
-    Contact.noteFailure();
+    Contact.noteFailure("the log is slow to answer");
     return std::nullopt;
   }
   bool same = Asked->From == job.From;
@@ -196,7 +196,7 @@
       if (read)
         Contact.noteOwn({asked, read->NextOffset});
       else if (read.error().Code != Errc::OutOfRange)
-        Contact.noteFailure();
+        Contact.noteFailure(read.error().What);
       Result = std::move(read);
     }
     Changed.notify_all();
--- a/src/libs/daemon/placementduty.cpp
+++ b/src/libs/daemon/placementduty.cpp
@@ -131,8 +131,14 @@
   auto changes = Shared.Store.read([&](const History::State &state) {
     return vmListChanges(state, *vms, Keeper.fence());
   });
-  for (const History::EndpointChange &change : changes)
+  for (const History::EndpointChange &change : changes) {
+    Utils::Event("endpoint_change")
+        .with("endpoint", change.Endpoint)
+        .with("life", History::endpointLifeName(change.Life))
+        .with("fence", change.Fence)
+        .info();
     appendRecord(Shared, change, AppendTimeout);
+  }
   for (const std::string &daemon : daemonsThatLeft(*vms, ListedDaemons))
     recordLeft(daemon);
 }
--- a/src/libs/daemon/servicecalls.cpp
+++ b/src/libs/daemon/servicecalls.cpp
@@ -48,6 +48,24 @@
                            request.ContentType + "\n" + request.Body);
 }
 
+std::string verdictText(const Utils::Outcome<History::Verdict> &verdict) {
+  if (!verdict)
+    return verdict.error().What;
+  return verdict->Accepted ? "accepted" : verdict->Reason;
+}
+
+/// Says what the agreed state holds of an order that this call does not run.
+void noteStep(const Request &request, const History::OrderClaim &claim,
+              Orders::Step step) {
+  Utils::Event("order_found")
+      .with("id", request.Id)
+      .with("key_hash", claim.KeyHash)
+      .with("team", claim.Team)
+      .with("service", claim.Service)
+      .with("step", Orders::stepName(step))
+      .info();
+}
+
 } // namespace
 
 ServiceCalls::ServiceCalls(Context &context) : Shared(context) {}
@@ -125,8 +143,10 @@
   for (int i = 0; i < MaxClaims; ++i) {
     std::optional<History::Order> order;
     Orders::Step step = waitForStep(request, claim, order);
-    if (step != Orders::Step::Claim)
+    if (step != Orders::Step::Claim) {
+      noteStep(request, claim, step);
       return answerFor(step, order, request);
+    }
     if (Orders::isExpired(claim.ExpiryUnixS, Shared.Clock.WallMs(),
                           Shared.Settings.ClockErrorMs))
       return refusalAnswer({Reason::IdempotencyKeyExpired, RunState::NotRun, 0,
@@ -163,6 +183,14 @@
   Utils::TimePoint now = Shared.Clock.Now();
   auto verdict = Shared.Appender->submitAndWait(
       claim, std::min(refuseBy(now, request.Deadline), now + ClaimTimeout));
+  Utils::Event("order_claimed")
+      .with("id", request.Id)
+      .with("claim", claim.ClaimId)
+      .with("key_hash", claim.KeyHash)
+      .with("team", claim.Team)
+      .with("service", claim.Service)
+      .with("verdict", verdictText(verdict))
+      .info();
   if (!verdict) {
     if (verdict.error().Code == Utils::Errc::UnknownResult)
       settle(
@@ -172,6 +200,12 @@
   if (!verdict->Accepted)
     return std::nullopt;
   Sent sent = sendClaimed(request, claim);
+  Utils::Event("order_outcome")
+      .with("id", request.Id)
+      .with("claim", claim.ClaimId)
+      .with("outcome", History::orderResultName(sent.Result.Ran))
+      .with("status", sent.Result.HttpStatus)
+      .info();
   settle(Orders::outcomeOf(claim, std::move(sent.Result)));
   return std::move(sent.Answer);
 }
@@ -201,6 +235,16 @@
       break;
     excluded.insert(target->Name);
     last = exchange(Shared, *target, callOf(request, deadline), {}, {});
+    Utils::Event("order_attempt")
+        .with("id", request.Id)
+        .with("claim", claim.ClaimId)
+        .with("endpoint", target->Name)
+        .with("status", last.Head.Status)
+        .with("run_state", last.answered()
+                               ? FrontDoor::runStateName(RunState::Ran)
+                               : FrontDoor::runStateName(last.Ran))
+        .with("message", last.Message)
+        .info();
   }
   if (!last.answered()) {
     bool unsent = last.Ran == RunState::NotRun;
--- a/src/libs/daemon/statusreport.cpp
+++ b/src/libs/daemon/statusreport.cpp
@@ -12,9 +12,7 @@
 using Json = nlohmann::json;
 
 int64_t msSince(const Context &context, Utils::TimePoint at) {
-  return std::chrono::duration_cast<Utils::Milliseconds>(context.Clock.Now() -
-                                                         at)
-      .count();
+  return Utils::msBetween(at, context.Clock.Now());
 }
 
 Json replicasJson(const History::State &state) {
@@ -47,10 +45,9 @@
 
 Json endpointsJson(const Context &context, const History::State &state) {
   Json list = Json::array();
-  constexpr const char *lifeNames[] = {"live", "leaving", "gone"};
   for (const auto &[name, it] : state.Endpoints)
     list.push_back({{"endpoint", name},
-                    {"state", lifeNames[static_cast<size_t>(it.Life)]},
+                    {"state", History::endpointLifeName(it.Life)},
                     {"failure_domain", it.FailureDomain},
                     {"memory_mb", it.MemoryMb},
                     {"charged_mb", it.ChargedMb},
--- a/src/libs/daemon/vmlistwatch.cpp
+++ b/src/libs/daemon/vmlistwatch.cpp
@@ -111,7 +111,9 @@
     lock.unlock();
     auto vms = List.List();
     if (!vms)
-      Utils::Event("vm_list_failed").with("why", vms.error().What).warning();
+      Source.noteFailure(vms.error().What);
+    else
+      Source.noteAnswer();
     lock.lock();
     if (vms)
       Newest = std::move(vms.value());
--- /dev/null
+++ b/src/libs/explain/explain.cpp
@@ -0,0 +1,107 @@
+#include "explain/explain.h"
+
+#include "explain/causes.h"
+
+#include <algorithm>
+#include <array>
+#include <set>
+
+namespace Explain {
+
+namespace {
+
+/// Events that change what a daemon believes or can reach.
+constexpr std::array<std::string_view, 18> BackgroundEvents = {
+    "started",
+    "stopping",
+    "leaving_balancer",
+    "dependency_lost",
+    "dependency_regained",
+    "log_append_failed",
+    "log_read_failed",
+    "limits_link",
+    "limits_opened",
+    "limits_taken_up",
+    "lease_claimed",
+    "replica_change_failed",
+    "feeder_failed",
+    "record_refused",
+    "order_outcome_lost",
+    "lines_suppressed",
+    "lines_dropped",
+    "endpoint_change"};
+/// Enough for the rounds of a lease and of a new limits holder.
+constexpr int BackgroundSeconds = 15;
+constexpr size_t MaxBackground = 20;
+
+bool isBackground(const LogLine &line) {
+  return std::find(BackgroundEvents.begin(), BackgroundEvents.end(),
+                   line.Event) != BackgroundEvents.end();
+}
+
+/// Seconds of the day of a time as written; the hours around midnight of a
+/// request are looked at as if they lay a day apart.
+int secondsOf(const std::string &time) {
+  int h = 0;
+  int m = 0;
+  int s = 0;
+  if (std::sscanf(time.c_str(), "%*d-%*d-%*dT%d:%d:%d", &h, &m, &s) != 3)
+    return 0;
+  return (h * 60 + m) * 60 + s;
+}
+
+void sortByTime(std::vector<LogLine> &lines) {
+  std::stable_sort(
+      lines.begin(), lines.end(),
+      [](const LogLine &a, const LogLine &b) { return a.Time < b.Time; });
+}
+
+/// Requests that share an order's key with this one, by their ids.
+std::set<std::string> sameOrder(const std::vector<LogLine> &all,
+                                const std::string &requestId) {
+  std::set<std::string> keys;
+  for (const LogLine &it : all)
+    if (it.field("id") == requestId && !it.field("key_hash").empty())
+      keys.insert(it.field("key_hash"));
+  std::set<std::string> ids = {requestId};
+  for (const LogLine &it : all)
+    if (keys.count(it.field("key_hash")) > 0)
+      ids.insert(it.field("id"));
+  return ids;
+}
+
+std::vector<LogLine> backgroundOf(const std::vector<LogLine> &all,
+                                  const LogLine &end) {
+  std::vector<LogLine> lines;
+  for (const LogLine &it : all) {
+    int age = secondsOf(end.Time) - secondsOf(it.Time);
+    if (isBackground(it) && it.Daemon == end.Daemon && age >= 0 &&
+        age <= BackgroundSeconds)
+      lines.push_back(it);
+  }
+  sortByTime(lines);
+  if (lines.size() > MaxBackground)
+    lines.erase(lines.begin(), lines.end() - MaxBackground);
+  return lines;
+}
+
+} // namespace
+
+Explanation explain(const std::vector<LogLine> &all,
+                    const std::string &requestId) {
+  Explanation result;
+  std::set<std::string> ids = sameOrder(all, requestId);
+  for (const LogLine &it : all)
+    if (ids.count(it.field("id")) > 0)
+      result.Lines.push_back(it);
+  sortByTime(result.Lines);
+  Internal::Evidence evidence{requestId, result.Lines, {}};
+  if (const LogLine *end = evidence.outcome()) {
+    result.Background = backgroundOf(all, *end);
+    evidence.Background = result.Background;
+  }
+  result.Cause = Internal::causeOf(evidence);
+  return result;
+}
+
+} // namespace Explain
--- a/src/libs/frontdoor/frontdoor.cpp
+++ b/src/libs/frontdoor/frontdoor.cpp
@@ -2,6 +2,7 @@
 
 #include "frontdoor/httpserver.h"
 #include "utils/digest.h"
+#include "utils/event.h"
 #include "utils/periodicthread.h"
 
 #include <atomic>
@@ -64,8 +65,19 @@
           holds(request.ContentType) || holds(request.IdempotencyKey));
 }
 
-bool isProbe(const std::string &path) {
-  return path == "/healthz" || path == "/readyz" || path == "/metrics";
+/// A refusal by the front door itself, which the daemon never sees. The path
+/// is left out of the log: a careless caller may have put a key there.
+Answer refuseHere(const httplib::Request &raw, const Refusal &refusal,
+                  const std::string &id) {
+  Utils::Event("refused_at_door")
+      .with("id", id)
+      .with("method", raw.method)
+      .with("reason", reasonName(refusal.Why))
+      .with("run_state", runStateName(refusal.Ran))
+      .with("retry_after_ms", refusal.RetryAfterMs)
+      .with("message", refusal.Message)
+      .warning();
+  return refusalAnswer(refusal, id);
 }
 
 void writeAnswer(Answer answer, const std::string &requestId,
@@ -93,6 +105,10 @@
 
 } // namespace
 
+bool isProbe(std::string_view path) {
+  return path == "/healthz" || path == "/readyz" || path == "/metrics";
+}
+
 struct Server::Content {
   Options Limits;
   Handler OnRequest;
@@ -112,13 +128,15 @@
 Answer Server::Content::dispatch(const httplib::Request &raw,
                                  const std::string &id) {
   if (Draining)
-    return refusalAnswer(
+    return refuseHere(
+        raw,
         {Reason::Draining, RunState::NotRun, 1000, "this daemon is stopping"},
         id);
   if (Running > Limits.Threads && !isProbe(raw.path))
-    return refusalAnswer({Reason::NoCapacity, RunState::NotRun, RetryAfterMs,
-                          "all threads of this daemon are busy"},
-                         id);
+    return refuseHere(raw,
+                      {Reason::NoCapacity, RunState::NotRun, RetryAfterMs,
+                       "all threads of this daemon are busy"},
+                      id);
   Request request;
   request.Id = id;
   request.Method = raw.method;
@@ -129,19 +147,22 @@
   request.BearerKey = bearerKey(raw);
   request.IdempotencyKey = raw.get_header_value("Idempotency-Key");
   if (!parseDeadline(raw, Limits, request.Deadline))
-    return refusalAnswer({Reason::MalformedRequest, RunState::NotRun, 0,
-                          "X-Deadline-Ms must be a whole number from 1 to " +
-                              std::to_string(Limits.MaxDeadlineMs)},
-                         id);
+    return refuseHere(raw,
+                      {Reason::MalformedRequest, RunState::NotRun, 0,
+                       "X-Deadline-Ms must be a whole number from 1 to " +
+                           std::to_string(Limits.MaxDeadlineMs)},
+                      id);
   if (raw.body.size() > Limits.MaxBodyBytes)
-    return refusalAnswer({Reason::BodyTooLarge, RunState::NotRun, 0,
-                          "the body is larger than " +
-                              std::to_string(Limits.MaxBodyBytes) + " bytes"},
-                         id);
+    return refuseHere(raw,
+                      {Reason::BodyTooLarge, RunState::NotRun, 0,
+                       "the body is larger than " +
+                           std::to_string(Limits.MaxBodyBytes) + " bytes"},
+                      id);
   if (repeatsKey(request))
-    return refusalAnswer({Reason::MalformedRequest, RunState::NotRun, 0,
-                          "the key stands outside the Authorization header"},
-                         id);
+    return refuseHere(raw,
+                      {Reason::MalformedRequest, RunState::NotRun, 0,
+                       "the key stands outside the Authorization header"},
+                      id);
   request.CallerLeft = Internal::currentCallerLeft();
   return OnRequest(request);
 }
--- a/src/libs/frontdoor/frontdoor.h
+++ b/src/libs/frontdoor/frontdoor.h
@@ -33,19 +33,12 @@
   std::optional<uint32_t> Priority;
 };
 
+/// Whether the path is asked by balancers and monitors rather than callers.
+bool isProbe(std::string_view path);
+
 /// Writes one piece to the caller; false once the caller has left.
 using PieceWriter = std::function<bool(std::string_view)>;
 
-/// What the caller gets. With Stream set, the body is what Stream writes;
-/// Stream returns false when the answer must end as truncated.
-struct Answer {
-  int Status = 200;
-  std::string ContentType = "application/json";
-  std::map<std::string, std::string> Headers;
-  std::string Body;
-  std::function<bool(const PieceWriter &)> Stream;
-};
-
 /// Whether a refused request may have run.
 enum class RunState : uint8_t { NotRun, Ran, Unknown };
 
@@ -88,6 +81,18 @@
   std::string Message;
 };
 
+/// What the caller gets. With Stream set, the body is what Stream writes;
+/// Stream returns false when the answer must end as truncated.
+struct Answer {
+  int Status = 200;
+  std::string ContentType = "application/json";
+  std::map<std::string, std::string> Headers;
+  std::string Body;
+  std::function<bool(const PieceWriter &)> Stream;
+  /// Set when the answer is a refusal; Body holds the same for the caller.
+  std::optional<Refusal> Refused;
+};
+
 Answer refusalAnswer(const Refusal &refusal, const std::string &requestId);
 
 /// Limits of the front door.
--- a/src/libs/frontdoor/refusal.cpp
+++ b/src/libs/frontdoor/refusal.cpp
@@ -60,6 +60,7 @@
                           {"message", refusal.Message},
                           {"request_id", requestId}};
   Answer answer;
+  answer.Refused = refusal;
   answer.Status = ReasonRows[static_cast<size_t>(refusal.Why)].Status;
   if (refusal.RetryAfterMs > 0) {
     error["retry_after_ms"] = refusal.RetryAfterMs;
--- a/src/libs/history/applyorder.cpp
+++ b/src/libs/history/applyorder.cpp
@@ -5,8 +5,6 @@
 
 namespace {
 
-constexpr const char *ResultNames[] = {"ran", "not run", "unknown"};
-
 bool holdsSnapshotDuty(const State &state, Position fence) {
   return fence != 0 && fence == fenceOf(state, Constants::SnapshotDuty);
 }
@@ -84,7 +82,7 @@
   it->second.Body = record.Body;
   auditOrder(state,
              {at, 0, it->second.Daemon, "order " + record.ClaimId, "claimed",
-              ResultNames[static_cast<size_t>(record.Result)], true, ""});
+              std::string(orderResultName(record.Result)), true, ""});
   return accepted(at);
 }
 
--- a/src/libs/history/applyreplica.cpp
+++ b/src/libs/history/applyreplica.cpp
@@ -155,9 +155,8 @@
   if (record.Fence == 0 ||
       record.Fence != fenceOf(state, Constants::PlacementDuty))
     return rejected(at, "not the holder of the placement duty");
-  constexpr const char *lifeNames[] = {"live", "leaving", "gone"};
   auto lifeName = [&](EndpointLife life) {
-    return std::string(lifeNames[static_cast<size_t>(life)]);
+    return std::string(endpointLifeName(life));
   };
   auto [it, isNew] = state.Endpoints.try_emplace(record.Endpoint);
   Endpoint &endpoint = it->second;
--- a/src/libs/history/records.cpp
+++ b/src/libs/history/records.cpp
@@ -22,6 +22,11 @@
     "order_outcome", "snapshot",   "orders_expired", "order_bodies_expired"};
 static_assert(std::variant_size_v<Record> == TypeNames.size());
 
+constexpr std::array<std::string_view, 3> LifeNames = {"live", "leaving",
+                                                       "gone"};
+constexpr std::array<std::string_view, 3> ResultNames = {"ran", "not run",
+                                                         "unknown"};
+
 template <typename T> Record decodeAs(uint16_t type, const std::string &bytes) {
   Utils::Outcome<T> value = Codec::decode<T>(bytes);
   if (!value)
@@ -102,6 +107,14 @@
   return std::visit([](const auto &it) { return idOf(it); }, record);
 }
 
+std::string_view endpointLifeName(EndpointLife life) {
+  return LifeNames[static_cast<size_t>(life)];
+}
+
+std::string_view orderResultName(OrderResult result) {
+  return ResultNames[static_cast<size_t>(result)];
+}
+
 std::string_view recordName(const Record &record) {
   return TypeNames[record.index()];
 }
--- a/src/libs/history/records.h
+++ b/src/libs/history/records.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -56,6 +57,8 @@
 enum class EndpointKind : uint8_t { Engine, Service };
 enum class EndpointLife : uint8_t { Live, Leaving, Gone };
 
+std::string_view endpointLifeName(EndpointLife life);
+
 /// Endpoint as the duty holder saw it on the VM list. Requires the current
 /// fence of the duty `placement`.
 struct EndpointChange {
@@ -136,6 +139,8 @@
 
 enum class OrderResult : uint8_t { Ran, NotRun, Unknown };
 
+std::string_view orderResultName(OrderResult result);
+
 /// Outcome of a claimed call, replayed to every retry.
 struct OrderOutcome {
   std::string ClaimId;
--- a/src/libs/orders/orders.cpp
+++ b/src/libs/orders/orders.cpp
@@ -16,12 +16,19 @@
 constexpr char TooLargeBody[] =
     "{\"note\":\"the call ran; its answer was too large to be recorded\"}\n";
 
+constexpr std::array<std::string_view, 5> StepNames = {
+    "claim", "replay", "other_request", "wait", "unknown"};
+
 bool isVisible(char c) { return c > ' ' && c <= '~'; }
 
 bool isDigit(char c) { return c >= '0' && c <= '9'; }
 
 } // namespace
 
+std::string_view stepName(Step step) {
+  return StepNames[static_cast<size_t>(step)];
+}
+
 bool isSafeMethod(std::string_view method) {
   return std::find(SafeMethods.begin(), SafeMethods.end(), method) !=
          SafeMethods.end();
--- a/src/libs/orders/orders.h
+++ b/src/libs/orders/orders.h
@@ -48,6 +48,8 @@
   Unknown,      ///< Whether the call ran will not be known.
 };
 
+std::string_view stepName(Step step);
+
 Step nextStep(const History::State &state, const std::string &keyHash,
               const std::string &requestHash);
 
--- a/src/libs/utils/clock.h
+++ b/src/libs/utils/clock.h
@@ -11,6 +11,11 @@
 using TimePoint = std::chrono::steady_clock::time_point;
 using Milliseconds = std::chrono::milliseconds;
 
+/// Whole milliseconds from one point to another; negative when that is earlier.
+inline int64_t msBetween(TimePoint from, TimePoint to) {
+  return std::chrono::duration_cast<Milliseconds>(to - from).count();
+}
+
 /// Source of time, replaced by tests.
 struct Clock {
   /// Monotonic time.
--- a/src/libs/utils/event.cpp
+++ b/src/libs/utils/event.cpp
@@ -1,12 +1,8 @@
 #include "utils/event.h"
 
-#include "utils/clock.h"
+#include "utils/eventlog.h"
 
 #include <algorithm>
-#include <ctime>
-#include <glog/logging.h>
-#include <iomanip>
-#include <mutex>
 
 namespace Utils {
 
@@ -38,46 +34,27 @@
   out += '"';
 }
 
-/// `time=2026-01-31T08:15:00.123Z level=LEVEL `, in UTC.
-std::string stamp(const char *level) {
-  constexpr int64_t msPerSecond = 1000;
-  int64_t ms = Clock().WallMs();
-  auto seconds = static_cast<std::time_t>(ms / msPerSecond);
-  std::tm utc{};
-  gmtime_r(&seconds, &utc);
-  std::ostringstream out;
-  out << "time=" << std::put_time(&utc, "%Y-%m-%dT%H:%M:%S.") << std::setw(3)
-      << std::setfill('0') << ms % msPerSecond << "Z level=" << level << ' ';
-  return out.str();
-}
-
-/// Writes one line at a time. glog reads the time zone for each line, which the
-/// C library does under a lock of its own that sanitizers do not see.
-void write(google::LogSeverity severity, const char *level,
-           const std::string &line) {
-  static std::mutex mutex;
-  std::lock_guard lock(mutex);
-  google::LogMessage(__FILE__, __LINE__, severity).stream()
-      << stamp(level) << line;
-}
-
 } // namespace
 
-Event::Event(std::string_view name) : Line("event=") { Line += name; }
+Event::Event(std::string_view name) : Name(name) {}
 
 Event &Event::with(std::string_view key, std::string_view value) {
-  Line += ' ';
-  Line += key;
-  Line += '=';
+  Pairs += ' ';
+  Pairs += key;
+  Pairs += '=';
   if (needsQuotes(value))
-    appendQuoted(Line, value);
+    appendQuoted(Pairs, value);
   else
-    Line += value;
+    Pairs += value;
   return *this;
 }
 
-void Event::info() const { write(google::GLOG_INFO, "info", Line); }
-void Event::warning() const { write(google::GLOG_WARNING, "warning", Line); }
-void Event::error() const { write(google::GLOG_ERROR, "error", Line); }
+std::string Event::line() const { return "event=" + Name + Pairs; }
+
+void Event::info() const { Internal::report(EventLevel::Info, Name, Pairs); }
+void Event::warning() const {
+  Internal::report(EventLevel::Warning, Name, Pairs);
+}
+void Event::error() const { Internal::report(EventLevel::Error, Name, Pairs); }
 
 } // namespace Utils
--- a/src/libs/utils/event.h
+++ b/src/libs/utils/event.h
@@ -20,7 +20,8 @@
     return with(key, std::string_view(out.str()));
   }
 
-  const std::string &line() const { return Line; }
+  /// The line without time and level.
+  std::string line() const;
 
   /// Writes the line to the log.
   void info() const;
@@ -28,7 +29,8 @@
   void error() const;
 
 private:
-  std::string Line;
+  std::string Name;
+  std::string Pairs;
 };
 
 } // namespace Utils
--- a/src/libs/utils/utils.h
+++ b/src/libs/utils/utils.h
@@ -4,8 +4,10 @@
 /// Public header of the utils library.
 #include "utils/boundedring.h"
 #include "utils/clock.h"
+#include "utils/dependency.h"
 #include "utils/digest.h"
 #include "utils/event.h"
+#include "utils/eventlog.h"
 #include "utils/outcome.h"
 #include "utils/periodicthread.h"
 
--- /dev/null
+++ b/tests/auto/explain/tst_explain.cpp
@@ -0,0 +1,176 @@
+#include "explain/explain.h"
+#include "utils/event.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace Explain;
+
+namespace {
+
+/// Logs of some daemons, written line by line a millisecond apart.
+struct Logs {
+  void add(const std::string &daemon, const Utils::Event &event) {
+    std::string ms = std::to_string(100 + Lines.size());
+    std::string text = "time=2026-01-31T08:15:00." + ms +
+                       "Z level=info daemon=" + daemon + " " + event.line();
+    auto line = parseLine(text);
+    REQUIRE(line);
+    Lines.push_back(*line);
+  }
+  void addOutcome(const std::string &daemon, const std::string &id,
+                  const std::string &reason, const std::string &runState) {
+    add(daemon, Utils::Event("request")
+                    .with("id", id)
+                    .with("status", 503)
+                    .with("reason", reason)
+                    .with("run_state", runState)
+                    .with("retry_after_ms", 900)
+                    .with("message", "why not"));
+  }
+  std::string causeOf(const std::string &id) const {
+    return explain(Lines, id).Cause;
+  }
+  bool tells(const std::string &id, const std::string &part) const {
+    INFO(causeOf(id));
+    bool found = causeOf(id).find(part) != std::string::npos;
+    CHECK(found);
+    return found;
+  }
+  std::vector<LogLine> Lines;
+};
+
+} // namespace
+
+TEST_CASE("line with any value, parsed, gives the value back") {
+  CHECK(rc::check([](const std::string &value) {
+    Utils::Event event("request");
+    event.with("id", value).with("last", "x");
+    auto line = parseLine("time=t level=info daemon=d0 " + event.line());
+    RC_ASSERT(line.has_value());
+    RC_ASSERT(line->field("id") == value);
+    RC_ASSERT(line->field("last") == "x");
+    RC_ASSERT(line->Event == "request");
+  }));
+}
+
+TEST_CASE("any text, parsed, is a line or none and never a crash") {
+  CHECK(rc::check([](const std::string &text) {
+    auto line = parseLine(text);
+    RC_ASSERT(!line || !line->Event.empty());
+  }));
+  CHECK(!parseLine("terminate called without an active exception"));
+  CHECK(!parseLine("time=t event=\"request"));
+  CHECK(!parseLine("time=t event=\"\\x9\""));
+}
+
+TEST_CASE_FIXTURE(Logs, "request refused over its rate, explained, names team, "
+                        "tokens and when to come back") {
+  add("d0", Utils::Event("tokens_refused")
+                .with("id", "r1")
+                .with("team", "kitchen")
+                .with("needed", 250)
+                .with("over_burst", false)
+                .with("no_holder", false)
+                .with("waited_ms", 40));
+  addOutcome("d0", "r1", "over_rate", "not-run");
+  tells("r1", "team kitchen needed 250 tokens");
+  tells("r1", "not-run");
+  tells("r1", "come back in 900 ms");
+}
+
+TEST_CASE_FIXTURE(Logs, "request refused for want of a limits holder, "
+                        "explained, names the link and the change before it") {
+  add("d0", Utils::Event("limits_link").with("is", "holder_silent"));
+  add("d1", Utils::Event("limits_link").with("is", "no_holder"));
+  add("d0", Utils::Event("tokens_refused")
+                .with("id", "r1")
+                .with("no_holder", true)
+                .with("link", "the holder does not answer"));
+  addOutcome("d0", "r1", "history_unavailable", "not-run");
+  tells("r1", "the holder does not answer");
+  auto found = explain(Lines, "r1");
+  REQUIRE(found.Background.size() == 1);
+  CHECK(found.Background[0].field("is") == "holder_silent");
+}
+
+TEST_CASE_FIXTURE(Logs, "request answered late, explained, names the longest "
+                        "wait") {
+  add("d0", Utils::Event("admitted")
+                .with("id", "r1")
+                .with("tokens_wait_ms", 5)
+                .with("turn_wait_ms", 10));
+  add("d0", Utils::Event("replica_awaited")
+                .with("id", "r1")
+                .with("outcome", "ready")
+                .with("waited_ms", 4000));
+  add("d0", Utils::Event("request")
+                .with("id", "r1")
+                .with("status", 200)
+                .with("ms", 5000)
+                .with("left_ms", -20));
+  tells("r1", "4000 ms of it waiting for a replica");
+  tells("r1", "20 ms after its deadline");
+}
+
+TEST_CASE_FIXTURE(Logs, "stream that was cut, explained, tells who ended it") {
+  for (const char *id : {"r1", "r2"})
+    add("d0", Utils::Event("request").with("id", id).with("status", 200));
+  add("d0", Utils::Event("stream_ended")
+                .with("id", "r1")
+                .with("whole", false)
+                .with("caller_left", true)
+                .with("bytes", 77));
+  add("d0", Utils::Event("stream_ended")
+                .with("id", "r2")
+                .with("whole", false)
+                .with("caller_left", false)
+                .with("bytes", 78));
+  tells("r1", "the caller left its stream after 77 bytes");
+  tells("r2", "its stream was cut after 78 bytes");
+}
+
+TEST_CASE_FIXTURE(Logs, "order of unknown outcome, retried elsewhere and "
+                        "explained, tells who claimed and called") {
+  add("d1", Utils::Event("order_claimed")
+                .with("id", "r1")
+                .with("claim", "c1")
+                .with("key_hash", "h")
+                .with("verdict", "accepted"));
+  add("d1", Utils::Event("order_attempt")
+                .with("id", "r1")
+                .with("claim", "c1")
+                .with("endpoint", "desk-0")
+                .with("message", "connection lost"));
+  add("d1", Utils::Event("order_outcome")
+                .with("id", "r1")
+                .with("claim", "c1")
+                .with("outcome", "unknown"));
+  add("d2", Utils::Event("order_found")
+                .with("id", "r2")
+                .with("key_hash", "h")
+                .with("step", "unknown"));
+  addOutcome("d2", "r2", "outcome_unknown", "unknown");
+  tells("r2", "daemon d1 claimed the key");
+  tells("r2", "called endpoint desk-0 (connection lost)");
+  tells("r2", "recorded outcome: unknown");
+  CHECK(explain(Lines, "r2").Lines.size() == 5);
+}
+
+TEST_CASE_FIXTURE(Logs, "order whose claimer died, explained, says that no "
+                        "call was logged") {
+  add("d1", Utils::Event("order_claimed")
+                .with("id", "r1")
+                .with("key_hash", "h")
+                .with("verdict", "accepted"));
+  add("d2", Utils::Event("order_found").with("id", "r2").with("key_hash", "h"));
+  addOutcome("d2", "r2", "idempotency_key_in_use", "unknown");
+  tells("r2", "logged no call to an endpoint");
+}
+
+TEST_CASE_FIXTURE(Logs, "request without a line or an outcome, explained, says "
+                        "so") {
+  tells("r9", "no line of this request");
+  add("d0", Utils::Event("admitted").with("id", "r1"));
+  tells("r1", "no outcome in these logs");
+}
--- a/tests/auto/support/cluster.h
+++ b/tests/auto/support/cluster.h
@@ -89,6 +89,10 @@
   Child &daemon(int i) { return Daemons[static_cast<size_t>(i)]; }
   FaultProxy::Proxy &proxy() { return Faults; }
   std::string daemonLog(int i) const;
+  /// File that the daemon's output goes to.
+  std::string daemonLogFile(int i) const {
+    return file("d" + std::to_string(i) + ".log");
+  }
   const Json &vms() const { return Vms; }
   /// Seed printed when a test fails.
   uint64_t seed() const { return Options.Seed; }
