Make room for as many models as load at once

Cause: with memory full, planRoom() stopped while any room was coming, so that loads started 2.3 times a second where the weight store allows 3.5, and the queue outgrew callers' deadlines (traced earlier, docs/design/admission.md). Ruled out: admission's forecast, which was right about what followed.

Change: demands hold room in order of rank, free or coming, until RoomsAhead (4) models have some; a model that waits for the store's schedule keeps its room, and a smaller model does not take it. The reference planner has the same rule.

Measured: logical time, six models at three full engines: within 3.1 s, not with room for one at a time; tst_placement 27 of 27.

--- a/src/libs/placement/loads.cpp
+++ b/src/libs/placement/loads.cpp
@@ -39,8 +39,10 @@
   return search;
 }
 
+/// Memory that is free may be held for a model of higher rank.
 bool canTake(const Search &search, const EndpointView &engine) {
-  return engine.IsLiveEngine && engine.FreeMb >= search.NeededMb &&
+  return engine.IsLiveEngine &&
+         std::min(engine.FreeMb, engine.ComingMb) >= search.NeededMb &&
          search.Holding.count(engine.Name) == 0;
 }
 
@@ -151,8 +153,15 @@
     return;
   if (!adapter && fromStore &&
       (plan.StoreLoads >= plan.Rules.ModelLoadsAtOnce ||
-       !plan.MayStartStoreLoad))
+       !plan.MayStartStoreLoad)) {
+    // The next model finds its room elsewhere, while this one waits its turn.
+    if (plan.RoomsHeld < plan.Rules.RoomsAhead) {
+      ++plan.RoomsHeld;
+      takeMemory(plan, engine,
+                 History::replicaMemoryMb(plan.State.Table, model));
+    }
     return;
+  }
   if (adapter) {
     ++plan.AdapterLoads;
   } else if (fromStore) {
--- a/src/libs/placement/placement.h
+++ b/src/libs/placement/placement.h
@@ -54,6 +54,10 @@
   uint32_t ModelLoadsAtOnce = 4;
   Utils::Milliseconds LoadInterval{286};
   uint32_t AdapterLoadsAtOnce = 30;
+  /// Models that room is made or held for before their loads can start: as many
+  /// as load at once, so that a load that ends is followed by one that has its
+  /// room already.
+  uint32_t RoomsAhead = 4;
   /// A model whose replicas each run so many requests gets another.
   uint32_t BusyRequests = 8;
   /// How long a replica beyond the first is kept without requests.
--- a/src/libs/placement/plan.cpp
+++ b/src/libs/placement/plan.cpp
@@ -146,8 +146,8 @@
 
 Plan makePlan(const History::State &state, const Knowledge &knowledge,
               const Policy &policy, Utils::TimePoint now) {
-  Plan plan{state, knowledge, policy, now, {},   {}, {},
-            {},    {},        0,      0,   true, {}, {}};
+  Plan plan{state, knowledge, policy, now,  {}, {}, {}, {},
+            {},    0,         0,      true, 0,  {}, {}};
   plan.MayStartStoreLoad = now - knowledge.LastStoreLoad >= policy.LoadInterval;
   addEndpoints(plan);
   for (const ReplicaEntry &entry : state.Replicas)
--- a/src/libs/placement/plan.h
+++ b/src/libs/placement/plan.h
@@ -64,6 +64,8 @@
   uint32_t StoreLoads = 0;
   uint32_t AdapterLoads = 0;
   bool MayStartStoreLoad = true;
+  /// Models whose room is spoken for in this round, see Policy::RoomsAhead.
+  uint32_t RoomsHeld = 0;
   std::set<std::string> Victims;
   std::vector<Decision> Decisions;
 };
@@ -97,8 +99,9 @@
 /// allows it; otherwise decides on what to unload for it.
 void planLoad(Plan &plan, const std::string &model);
 
-/// Decides to unload idle replicas, those of least expected use, until an
-/// engine will have room for the model.
+/// Holds room for the model on an engine that has it or will have it; else
+/// decides to unload idle replicas there, those of least expected use. Does
+/// nothing once room is held for Policy::RoomsAhead models.
 void planRoom(Plan &plan, const std::string &model);
 
 /// Decides to unload the replica, after the adapters on it.
--- a/src/libs/placement/unloads.cpp
+++ b/src/libs/placement/unloads.cpp
@@ -102,18 +102,30 @@
 }
 
 void planRoom(Plan &plan, const std::string &model) {
+  if (plan.RoomsHeld >= plan.Rules.RoomsAhead)
+    return;
   uint64_t neededMb = History::replicaMemoryMb(plan.State.Table, model);
   const std::string *base = baseOf(plan.State, model);
   Room best;
+  EndpointView *host = nullptr;
   for (EndpointView *engine : possibleHosts(plan, model, base)) {
-    if (engine->ComingMb >= neededMb)
-      return;
+    if (engine->ComingMb >= neededMb) {
+      host = engine;
+      best = {};
+      break;
+    }
     Room room = roomOn(plan, *engine, base, neededMb);
-    if (room.Mb >= neededMb && (best.Replicas.empty() || room.Loss < best.Loss))
-      best = std::move(room);
+    if (room.Mb < neededMb || (host && room.Loss >= best.Loss))
+      continue;
+    host = engine;
+    best = std::move(room);
   }
+  if (!host)
+    return;
   for (const ReplicaEntry *it : best.Replicas)
     planUnload(plan, it->first);
+  host->ComingMb -= std::min(host->ComingMb, neededMb);
+  ++plan.RoomsHeld;
 }
 
 } // namespace Placement::Internal
--- a/tests/auto/placement/plainplan.cpp
+++ b/tests/auto/placement/plainplan.cpp
@@ -16,6 +16,7 @@
   std::set<std::string> Victims;
   size_t NewStoreLoads = 0;
   size_t NewAdapterLoads = 0;
+  size_t RoomsHeld = 0;
   std::map<std::string, uint64_t> TakenMb;
   std::map<std::string, uint64_t> SpokenForMb;
   Utils::TimePoint Now;
@@ -135,7 +136,8 @@
     std::optional<std::tuple<size_t, int, uint64_t, std::string>> best;
     for (const auto &[name, endpoint] : State.Endpoints) {
       const std::string &domain = endpoint.FailureDomain;
-      if (!isLive(name) || freeMb(name) < mb || !mayHost(name, model, true))
+      if (!isLive(name) || freeMb(name) < mb || comingMb(name) < mb ||
+          !mayHost(name, model, true))
         continue;
       size_t n =
           replicas([&](const Replica &it) {
@@ -170,8 +172,13 @@
       return;
     if (!adapter && fromStore &&
         (NewStoreLoads > 0 || loading(false) >= Rules.ModelLoadsAtOnce ||
-         Now - Known.LastStoreLoad < Rules.LoadInterval))
+         Now - Known.LastStoreLoad < Rules.LoadInterval)) {
+      if (RoomsHeld < Rules.RoomsAhead) {
+        ++RoomsHeld;
+        TakenMb[engine] += mb;
+      }
       return;
+    }
     NewAdapterLoads += adapter ? 1 : 0;
     NewStoreLoads += !adapter && fromStore ? 1 : 0;
     TakenMb[engine] += mb;
@@ -198,6 +205,9 @@
     return false;
   }
   void makeRoom(const std::string &model, uint64_t mb) {
+    if (RoomsHeld >= Rules.RoomsAhead)
+      return;
+    std::string host;
     using Candidate = std::tuple<double, std::string, uint64_t>;
     std::vector<Candidate> best;
     double bestLoss = 0;
@@ -216,8 +226,11 @@
               Rules.Idle.Loss(Known, State, Rules, it, idle(id, it)), id,
               it.MemoryMb);
       }
-      if (coming >= mb)
-        return;
+      if (coming >= mb) {
+        host = name;
+        best.clear();
+        break;
+      }
       std::sort(idles.begin(), idles.end());
       std::vector<Candidate> chosen;
       double loss = 0;
@@ -226,13 +239,18 @@
         loss += std::get<0>(idles[i]);
         chosen.push_back(idles[i]);
       }
-      if (coming >= mb && (best.empty() || loss < bestLoss)) {
+      if (coming >= mb && (host.empty() || loss < bestLoss)) {
+        host = name;
         best = chosen;
         bestLoss = loss;
       }
     }
     for (const Candidate &it : best)
       unload(std::get<1>(it));
+    if (host.empty())
+      return;
+    SpokenForMb[host] += mb;
+    ++RoomsHeld;
   }
 
   bool mustGo(const std::string &id, const Replica &it) const {
@@ -315,7 +333,7 @@
 std::vector<Decision> planPlainly(const History::State &state,
                                   const Knowledge &known, const Policy &policy,
                                   Utils::TimePoint now) {
-  PlainPlan plan{{}, {}, 0, 0, {}, {}, now, policy, known, state};
+  PlainPlan plan{{}, {}, 0, 0, 0, {}, {}, now, policy, known, state};
   plan.planUnloads();
   plan.planDemands();
   plan.planBusy();
