Count answers by outcome and time each stage of a request

Cause: metrics told refusals by admission only; those by orders, endpoints and keys, and where a request's time went, stood in the logs alone.

--- a/src/libs/daemon/admit.cpp
+++ b/src/libs/daemon/admit.cpp
@@ -96,6 +96,8 @@
 
 void Admit::noteAdmitted(const Ticket &ticket,
                          const Admission::LoadView &view) const {
+  Metrics.observeStage("tokens", ticket.Granted - ticket.Arrived);
+  Metrics.observeStage("turn", ticket.Started - ticket.Granted);
   Utils::Event("admitted")
       .with("id", ticket.RequestId)
       .with("team", ticket.team())
--- a/src/libs/daemon/daemon.cpp
+++ b/src/libs/daemon/daemon.cpp
@@ -116,6 +116,10 @@
       .with("log_offset", offset)
       .with("log_silent_ms",
             Utils::msBetween(Shared.Follower->lastContact(), now));
+  std::string_view outcome =
+      answer.Refused ? FrontDoor::reasonName(answer.Refused->Why) : "answered";
+  Shared.Metrics.add("hickory_answers_total",
+                     "outcome=\"" + std::string(outcome) + "\"");
   if (!answer.Refused) {
     event.info();
     return;
@@ -147,6 +151,9 @@
         .with("bytes", bytes)
         .with("ms", Utils::msBetween(begin, Shared.Clock.Now()));
     whole ? event.info() : event.warning();
+    std::string_view end = whole ? "whole" : callerLeft ? "caller_left" : "cut";
+    Shared.Metrics.add("hickory_streams_ended_total",
+                       "end=\"" + std::string(end) + "\"");
     return whole;
   };
 }
--- a/src/libs/daemon/dispatch.cpp
+++ b/src/libs/daemon/dispatch.cpp
@@ -82,6 +82,7 @@
                  Utils::TimePoint begin) {
   auto reading = context.Loads.reading(target.Name);
   Utils::TimePoint now = context.Clock.Now();
+  context.Metrics.observeStage("endpoint", now - begin);
   Utils::Event event("attempt");
   event.with("id", request.Id)
       .with("endpoint", target.Name)
--- a/src/libs/daemon/modelcalls.cpp
+++ b/src/libs/daemon/modelcalls.cpp
@@ -201,6 +201,7 @@
         ++phases[replica.Phase];
     return state.Demands.count(model) > 0;
   });
+  Shared.Metrics.observeStage("replica", Shared.Clock.Now() - begin);
   Utils::Event("replica_awaited")
       .with("id", request.Id)
       .with("model", model)
--- a/src/libs/metrics/metrics.cpp
+++ b/src/libs/metrics/metrics.cpp
@@ -1,7 +1,7 @@
 #include "metrics/metrics.h"
 
+#include <algorithm>
 #include <boost/histogram.hpp>
-#include <cmath>
 #include <limits>
 #include <map>
 #include <mutex>
@@ -96,6 +96,12 @@
   ++it.Count;
 }
 
+void Registry::observeStage(const std::string &stage,
+                            std::chrono::duration<double> it) {
+  observe("hickory_stage_seconds", std::max(it.count(), 0.0),
+          "stage=\"" + stage + "\"");
+}
+
 std::string Registry::text() const {
   std::lock_guard lock(Data->Mutex);
   std::ostringstream out;
--- a/src/libs/metrics/metrics.h
+++ b/src/libs/metrics/metrics.h
@@ -3,6 +3,7 @@
 
 /// Public header of the metrics library: counters and latency histograms in the
 /// Prometheus text format.
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -23,6 +24,9 @@
   void set(const std::string &name, double value,
            const std::string &labels = "");
 
+  /// Records a latency; negative ones count as 0.
+  void observeStage(const std::string &stage, std::chrono::duration<double> it);
+
   /// Records a latency in seconds.
   void observe(const std::string &name, double seconds,
                const std::string &labels = "");
--- a/tests/auto/process/explaining.cpp
+++ b/tests/auto/process/explaining.cpp
@@ -69,6 +69,16 @@
   std::string text = explained(retried);
   CHECK(text.find("daemon d0 claimed the key") != std::string::npos);
   CHECK(text.find("called endpoint desk-0") != std::string::npos);
+
+  auto counts = [&](int daemon, const std::string &line) {
+    std::string metrics = All.send(daemon, "GET", "/metrics", "", {}).Body;
+    INFO(metrics);
+    CHECK(metrics.find(line) != std::string::npos);
+  };
+  counts(0, "hickory_answers_total{outcome=\"answered\"} 1\n");
+  counts(0, "hickory_stage_seconds_count{stage=\"replica\"} 1\n");
+  counts(1, "hickory_answers_total{outcome=\"over_rate\"} 1\n");
+  counts(1, "hickory_answers_total{outcome=\"outcome_unknown\"}");
 }
 
 TEST_CASE_FIXTURE(LoggedFleet, "daemon whose output nobody reads, serves on") {
