Load models elsewhere when their engine answers no reports

Failed reports were dropped without a word. Ruled out: routing (one replica, nothing to choose) and the retry budget.

Change: an engine whose reports have failed for 2 s takes no load and serves no more for placement; its models in use get a replica elsewhere within max_replicas. More than half silent: none is. Daemons tell the holder at which endpoints calls fail; such engines are asked every 500 ms.

--- a/src/libs/daemon/context.h
+++ b/src/libs/daemon/context.h
@@ -5,6 +5,7 @@
 #include "daemon/keywatch.h"
 #include "daemon/peerdutylog.h"
 #include "daemon/retrybudget.h"
+#include "daemon/suspectboard.h"
 #include "daemon/upstream.h"
 #include "daemon/waitingboard.h"
 #include "environment/environment.h"
@@ -35,6 +36,7 @@
   RetryBudget Retries;
   KeyWatch Keys{Store};
   Routing::Outliers Outliers;
+  SuspectBoard Suspects;
   Routing::ReplicaIndex Replicas;
   Routing::LoadBoard Loads;
   WaitingBoard Waiting{Clock};
--- a/src/libs/daemon/endpointworkers.cpp
+++ b/src/libs/daemon/endpointworkers.cpp
@@ -11,6 +11,8 @@
 constexpr Utils::Milliseconds BusyPeriod(250);
 constexpr Utils::Milliseconds UsedPeriod(1000);
 constexpr Utils::Milliseconds IdlePeriod(8000);
+/// Several reports within Policy::SilentAfter.
+constexpr Utils::Milliseconds SuspectPeriod(500);
 /// Periods vary by this share to both sides, so that engines that were asked at
 /// once are soon asked evenly.
 constexpr double PeriodSpread = 0.25;
@@ -85,10 +87,24 @@
 
 void EndpointWorkers::askForReports() {
   Utils::TimePoint now = Shared.Clock.Now();
-  for (auto &[name, worker] : Workers)
-    if (worker.Wanted && !worker.ReportAsked &&
-        now >= worker.ReportedAt + spread(worker.Period, worker.Spread))
+  for (auto &[name, worker] : Workers) {
+    if (!worker.Wanted || worker.ReportAsked)
+      continue;
+    Utils::Milliseconds period = worker.Period;
+    if (isSuspect(name, worker))
+      period = std::min(period, SuspectPeriod);
+    if (now >= worker.ReportedAt + spread(period, worker.Spread))
       worker.ReportAsked = worker.Content->submit({});
+  }
+}
+
+bool EndpointWorkers::isSuspect(const std::string &endpoint,
+                                const Worker &worker) const {
+  auto isNewer = [&](const std::optional<Utils::TimePoint> &at) {
+    return at && *at > worker.ReportedAt;
+  };
+  return worker.Silent || isNewer(Shared.Outliers.lastFailure(endpoint)) ||
+         isNewer(Shared.Suspects.toldAt(endpoint));
 }
 
 bool EndpointWorkers::submit(const std::string &endpoint, EndpointJob job) {
@@ -103,6 +119,8 @@
   Worker &worker = it->second;
   bool isReport = result.Job.Kind == EndpointJobKind::Report;
   worker.ReportAsked &= !isReport;
+  if (isReport)
+    worker.Silent = !result.Report;
   worker.ReportedAt = isReport ? Shared.Clock.Now() : Utils::TimePoint();
   worker.Spread = std::uniform_real_distribution<double>(
       1 - PeriodSpread, 1 + PeriodSpread)(Random);
--- a/src/libs/daemon/endpointworkers.h
+++ b/src/libs/daemon/endpointworkers.h
@@ -58,8 +58,12 @@
     /// Share of the period that passes before the next report.
     double Spread = 1;
     Utils::TimePoint ReportedAt;
+    /// The newest report could not be read.
+    bool Silent = false;
   };
 
+  /// Whether calls or reports fail, so that the engine is asked sooner.
+  bool isSuspect(const std::string &endpoint, const Worker &worker) const;
   Worker *workerFor(const std::string &endpoint);
   void closeOld();
 
--- a/src/libs/daemon/orderanswers.cpp
+++ b/src/libs/daemon/orderanswers.cpp
@@ -11,9 +11,9 @@
 using FrontDoor::RunState;
 
 constexpr uint32_t RetryAfterMs = 1000;
-/// A daemon that is found dead is recorded as gone after 30 s, which makes the
-/// outcome final; one that was only parted is back sooner.
-constexpr uint32_t DeadClaimerRetryMs = 5000;
+/// A silent daemon is recorded as gone after 30 s, which makes the outcome
+/// final; one that was only parted is back sooner.
+constexpr uint32_t SilentClaimerRetryMs = 5000;
 constexpr char DroppedBody[] =
     "{\"note\":\"the call ran; its answer is no longer kept\"}\n";
 
@@ -55,9 +55,9 @@
                        request.Id);
 }
 
-Answer claimerDeadAnswer(const Request &request) {
+Answer claimerSilentAnswer(const Request &request) {
   return refusalAnswer(
-      {Reason::KeyInUse, RunState::Unknown, DeadClaimerRetryMs,
+      {Reason::KeyInUse, RunState::Unknown, SilentClaimerRetryMs,
        "the daemon that runs the call with this key does not answer; whether "
        "the call ran is not known yet"},
       request.Id);
--- a/src/libs/daemon/orderanswers.h
+++ b/src/libs/daemon/orderanswers.h
@@ -13,8 +13,8 @@
                             const std::optional<History::Order> &order,
                             const FrontDoor::Request &request);
 
-/// Answer to a retry whose first call is in the hands of a daemon found dead.
-FrontDoor::Answer claimerDeadAnswer(const FrontDoor::Request &request);
+/// Answer to a retry whose first call is in the hands of a silent daemon.
+FrontDoor::Answer claimerSilentAnswer(const FrontDoor::Request &request);
 
 FrontDoor::Answer historyUnavailableAnswer(const FrontDoor::Request &request);
 
--- a/src/libs/daemon/placementduty.cpp
+++ b/src/libs/daemon/placementduty.cpp
@@ -78,8 +78,10 @@
 
 void PlacementDuty::round(bool holds, uint64_t mark) {
   // What was reported to an earlier term may be long past.
-  if (holds && !Held)
+  if (holds && !Held) {
     Knowledge.Reports.clear();
+    Knowledge.NoReportSince.clear();
+  }
   HasNews = false;
   Held = holds;
   Mark = mark;
@@ -113,8 +115,10 @@
     HasNews = true;
     return;
   }
-  if (!result.Report)
+  if (!result.Report) {
+    Placement::noteNoReport(Knowledge, result.Endpoint, now);
     return;
+  }
   Shared.Store.read([&](const History::State &state) {
     HasNews |= Placement::isNews(Knowledge, state, Policy, result.Endpoint,
                                  *result.Report);
--- a/src/libs/daemon/servicecalls.cpp
+++ b/src/libs/daemon/servicecalls.cpp
@@ -23,9 +23,11 @@
 constexpr Utils::Milliseconds OutcomeTimeout(3'600'000);
 /// A log that answered no read for this long is unavailable.
 constexpr Utils::Milliseconds HistoryUnavailableAfter(3000);
-/// How often a call that waits for another daemon looks whether that is alive;
-/// gossip takes seconds to find it dead.
+/// How often a call that waits for another daemon looks whether that speaks.
 constexpr Utils::Milliseconds ClaimerCheckPeriod(250);
+/// A daemon that gossip does not name as up for this long is taken for dead;
+/// one that has just started may not be named yet.
+constexpr Utils::Milliseconds ClaimerSilentAfter(3000);
 constexpr size_t MaxUnrecorded = 1024;
 constexpr int MaxClaims = 8;
 
@@ -144,13 +146,11 @@
   claim.RequestHash = requestHash(request);
   claim.ExpiryUnixS = key->ExpiryUnixS;
   for (int i = 0; i < MaxClaims; ++i) {
-    std::optional<History::Order> order;
-    Orders::Step step = waitForStep(request, claim, order);
-    if (step != Orders::Step::Claim) {
-      noteStep(request, claim, step);
-      if (step == Orders::Step::Wait && isClaimerDead(claim.KeyHash))
-        return claimerDeadAnswer(request);
-      return answerFor(step, order, request);
+    Found found = waitForStep(request, claim);
+    if (found.Step != Orders::Step::Claim) {
+      noteStep(request, claim, found.Step);
+      return found.ClaimerSilent ? claimerSilentAnswer(request)
+                                 : answerFor(found.Step, found.Order, request);
     }
     if (Orders::isExpired(claim.ExpiryUnixS, Shared.Clock.WallMs(),
                           Shared.Settings.ClockErrorMs))
@@ -164,38 +164,46 @@
   return answerFor(Orders::Step::Wait, std::nullopt, request);
 }
 
-Orders::Step
+ServiceCalls::Found
 ServiceCalls::waitForStep(const Request &request,
-                          const History::OrderClaim &claim,
-                          std::optional<History::Order> &order) const {
-  auto step = Orders::Step::Wait;
+                          const History::OrderClaim &claim) const {
+  Found found;
   auto look = [&](const History::State &state) {
-    step = Orders::nextStep(state, claim.KeyHash, claim.RequestHash);
-    if (step == Orders::Step::Replay)
-      order = state.Orders.at(claim.KeyHash);
-    return step != Orders::Step::Wait;
+    found.Step = Orders::nextStep(state, claim.KeyHash, claim.RequestHash);
+    if (found.Step == Orders::Step::Replay)
+      found.Order = state.Orders.at(claim.KeyHash);
+    return found.Step != Orders::Step::Wait;
   };
-  Utils::TimePoint until = refuseBy(Shared.Clock.Now(), request.Deadline);
+  Utils::TimePoint begin = Shared.Clock.Now();
+  Utils::TimePoint until = refuseBy(begin, request.Deadline);
+  Utils::TimePoint spokeAt = begin;
   bool known = Shared.Store.read(look);
   while (!known && Shared.Clock.Now() < until && !Shared.Store.isClosed() &&
-         !isHistoryUnavailable() && !isClaimerDead(claim.KeyHash))
+         !isHistoryUnavailable() && !found.ClaimerSilent) {
     known = Shared.Store.waitUntil(
         look, std::min(until, Shared.Clock.Now() + ClaimerCheckPeriod));
-  return step;
+    if (claimerSpeaks(claim.KeyHash))
+      spokeAt = Shared.Clock.Now();
+    found.ClaimerSilent =
+        !known && Shared.Clock.Now() - spokeAt >= ClaimerSilentAfter;
+  }
+  return found;
 }
 
-bool ServiceCalls::isClaimerDead(const std::string &keyHash) const {
-  if (!Shared.Node)
-    return false;
+bool ServiceCalls::claimerSpeaks(const std::string &keyHash) const {
   auto claimer = Shared.Store.read([&](const History::State &state) {
     auto it = state.Orders.find(keyHash);
     return it == state.Orders.end() ? std::string() : it->second.Daemon;
   });
+  if (!Shared.Node || claimer == Shared.Settings.Name)
+    return true;
   std::vector<Peers::MemberView> members = Shared.Node->members();
-  return std::any_of(
-      members.begin(), members.end(), [&](const Peers::MemberView &it) {
-        return it.Name == claimer && it.Status == Peers::MemberStatus::Dead;
-      });
+  return std::any_of(members.begin(), members.end(),
+                     [&](const Peers::MemberView &it) {
+                       return it.Name == claimer &&
+                              (it.Status == Peers::MemberStatus::Alive ||
+                               it.Status == Peers::MemberStatus::Suspect);
+                     });
 }
 
 std::optional<Answer> ServiceCalls::claimAndSend(const Request &request,
--- a/src/libs/daemon/servicecalls.h
+++ b/src/libs/daemon/servicecalls.h
@@ -34,13 +34,20 @@
   FrontDoor::Answer callOnce(const FrontDoor::Request &request,
                              const std::string &service,
                              const std::string &team);
+  /// What the agreed state holds of a key, after a wait.
+  struct Found {
+    Orders::Step Step = Orders::Step::Wait;
+    /// The recorded call, to be replayed.
+    std::optional<History::Order> Order;
+    /// The daemon that claimed the key is not heard of any more. Its call may
+    /// have run, which only a record can settle.
+    bool ClaimerSilent = false;
+  };
+
   /// Waits while another daemon runs the call, at most to the deadline.
-  Orders::Step waitForStep(const FrontDoor::Request &request,
-                           const History::OrderClaim &claim,
-                           std::optional<History::Order> &order) const;
-  /// Whether the daemon that claimed the key has been found dead by its peers.
-  /// Its call may have run, which only a record can settle.
-  bool isClaimerDead(const std::string &keyHash) const;
+  Found waitForStep(const FrontDoor::Request &request,
+                    const History::OrderClaim &claim) const;
+  bool claimerSpeaks(const std::string &keyHash) const;
   /// Nothing when another claim won.
   std::optional<FrontDoor::Answer>
   claimAndSend(const FrontDoor::Request &request, History::OrderClaim claim);
--- a/src/libs/daemon/waitingteller.cpp
+++ b/src/libs/daemon/waitingteller.cpp
@@ -1,12 +1,17 @@
 #include "daemon/waitingteller.h"
 
+#include "codec/codec.h"
 #include "history/historyconstants.h"
 
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+
 namespace Daemon::Internal {
 
 namespace {
 
 constexpr char WaitingMethod[] = "placement.waiting";
+constexpr char SuspectsMethod[] = "placement.suspects";
 constexpr Utils::Milliseconds TellPeriod(100);
 constexpr Utils::Milliseconds TellTimeout(100);
 
@@ -15,6 +20,21 @@
   return it == state.Leases.end() ? std::string() : it->second.Holder;
 }
 
+Utils::Outcome<std::string> takeSuspects(Context &context,
+                                         std::string_view message) {
+  auto told = Codec::decode<std::vector<std::string>>(message);
+  if (!told)
+    return told.error();
+  std::vector<std::string> names = std::move(told.value());
+  context.Store.read([&](const History::State &state) {
+    return std::erase_if(names, [&](const std::string &it) {
+      return state.Endpoints.count(it) == 0;
+    });
+  });
+  context.Suspects.note(names, context.Clock.Now());
+  return std::string();
+}
+
 } // namespace
 
 WaitingTeller::WaitingTeller(Context &context) : Shared(context) {
@@ -27,20 +47,39 @@
           return taken.error();
         return std::string();
       });
+  context.Rpc.Handle(SuspectsMethod, [&context](const std::string & /*daemon*/,
+                                                std::string_view message) {
+    return takeSuspects(context, message);
+  });
 }
 
 void WaitingTeller::tell() {
   Utils::TimePoint now = Shared.Clock.Now();
-  bool any = !Shared.Waiting.empty();
-  if (now < ToldAt + TellPeriod || (!any && !ToldAny))
+  if (now < ToldAt + TellPeriod)
     return;
   std::string holder = Shared.Store.read(holderOf);
+  bool any = !Shared.Waiting.empty();
+  bool anyFailed = !Shared.Outliers.failedSince(ToldFailuresAt).empty();
+  if (!any && !ToldAny && !anyFailed)
+    return;
   ToldAt = now;
   if (holder.empty() || holder == Shared.Settings.Name)
     return;
+  if (anyFailed)
+    tellFailures(holder, now);
+  if (!any && !ToldAny)
+    return;
   auto told = Shared.Rpc.Call(holder, WaitingMethod, Shared.Waiting.message(),
                               now + TellTimeout);
   ToldAny = any || !told;
 }
 
+void WaitingTeller::tellFailures(const std::string &holder,
+                                 Utils::TimePoint now) {
+  std::vector<std::string> failed = Shared.Outliers.failedSince(ToldFailuresAt);
+  if (Shared.Rpc.Call(holder, SuspectsMethod, Codec::encode(failed),
+                      now + TellTimeout))
+    ToldFailuresAt = now;
+}
+
 } // namespace Daemon::Internal
--- a/src/libs/placement/due.cpp
+++ b/src/libs/placement/due.cpp
@@ -77,7 +77,8 @@
             const Policy &policy, const std::string &endpoint,
             const Engine::Report &report) {
   auto it = knowledge.Reports.find(endpoint);
-  if (it == knowledge.Reports.end())
+  if (it == knowledge.Reports.end() ||
+      knowledge.NoReportSince.count(endpoint) > 0)
     return true;
   const Engine::Report &old = it->second.Content;
   return old.MemoryUsedMb != report.MemoryUsedMb ||
@@ -104,6 +105,8 @@
   }
   for (const auto &[id, trace] : knowledge.Orders)
     consider(trace.RetryAt);
+  for (const auto &[endpoint, since] : knowledge.NoReportSince)
+    consider(since + policy.SilentAfter);
   if (!state.Demands.empty() || !knowledge.Replace.empty())
     consider(knowledge.LastStoreLoad + policy.LoadInterval);
   return due;
--- a/src/libs/placement/loads.cpp
+++ b/src/libs/placement/loads.cpp
@@ -41,7 +41,7 @@
 
 /// Memory that is free may be held for a model of higher rank.
 bool canTake(const Search &search, const EndpointView &engine) {
-  return engine.IsLiveEngine &&
+  return engine.IsLiveEngine && !engine.IsSilent &&
          std::min(engine.FreeMb, engine.ComingMb) >= search.NeededMb &&
          search.Holding.count(engine.Name) == 0;
 }
--- a/src/libs/placement/placement.cpp
+++ b/src/libs/placement/placement.cpp
@@ -19,8 +19,24 @@
 constexpr double LeastIdleSeconds = 2;
 
 bool isServing(const Plan &plan, const Replica &replica) {
-  return replica.Phase != ReplicaPhase::Unloading &&
-         Internal::endpointOf(plan, replica).IsLiveEngine;
+  const Internal::EndpointView &endpoint = Internal::endpointOf(plan, replica);
+  return replica.Phase != ReplicaPhase::Unloading && endpoint.IsLiveEngine &&
+         !endpoint.IsSilent;
+}
+
+/// Whether one more replica keeps within the model's row, counting those on
+/// engines that do not answer: they may be back at any time.
+bool mayAdd(const Plan &plan, const std::string &model) {
+  auto spec = plan.State.Table.Models.find(model);
+  if (spec == plan.State.Table.Models.end())
+    return true;
+  uint32_t n = 0;
+  for (const ReplicaEntry *it : Internal::replicasOf(plan, model))
+    n += it->second.Phase != ReplicaPhase::Unloading &&
+                 Internal::endpointOf(plan, it->second).IsLiveEngine
+             ? 1
+             : 0;
+  return n < spec->second.MaxReplicas;
 }
 
 uint32_t servingReplicas(const Plan &plan, const std::string &model) {
@@ -70,7 +86,8 @@
   std::set<std::string> planned;
   for (const std::string &wanted : rankedDemands(plan)) {
     std::string model = modelToLoad(plan, wanted);
-    if (servingReplicas(plan, model) == 0 && planned.insert(model).second)
+    if (servingReplicas(plan, model) == 0 && mayAdd(plan, model) &&
+        planned.insert(model).second)
       Internal::planLoad(plan, model);
   }
 }
@@ -79,14 +96,14 @@
 void planBusy(Plan &plan) {
   for (const auto &[model, spec] : plan.State.Table.Models) {
     uint32_t n = servingReplicas(plan, model);
-    bool busy = n > 0 && n < spec.MaxReplicas;
+    bool busy = n > 0 && mayAdd(plan, model);
     for (const ReplicaEntry *it : Internal::replicasOf(plan, model)) {
       if (!busy || !isServing(plan, it->second))
         continue;
       const Engine::HeldModel *held = Internal::heldOf(plan, it->first);
       busy = held && held->Running >= plan.Rules.BusyRequests;
     }
-    if (busy || n < spec.MinReplicas)
+    if (busy || (n < spec.MinReplicas && mayAdd(plan, model)))
       Internal::planLoad(plan, model);
   }
 }
@@ -154,9 +171,11 @@
                       const Policy &policy, Utils::TimePoint now) {
   Plan plan = Internal::makePlan(state, knowledge, policy, now);
   for (const auto &[id, replica] : state.Replicas) {
-    bool leaves = !Internal::endpointOf(plan, replica).IsLiveEngine;
+    const Internal::EndpointView &endpoint =
+        Internal::endpointOf(plan, replica);
     if (replica.Phase != ReplicaPhase::Ready ||
-        (!leaves && !isLost(plan, id, replica)))
+        (endpoint.IsLiveEngine && !endpoint.IsSilent &&
+         !isLost(plan, id, replica)))
       continue;
     double idle = Internal::idleSeconds(plan, id);
     if (policy.Idle.KeepUntil(knowledge, state, policy, replica, idle) > idle)
--- a/src/libs/placement/placement.h
+++ b/src/libs/placement/placement.h
@@ -70,6 +70,10 @@
   Utils::Milliseconds LookPeriod{1000};
   /// Age from which on a report says nothing of the use of replicas.
   Utils::Milliseconds ReportLifetime{20000};
+  /// How long an engine's reports may fail before its models are loaded
+  /// elsewhere: longer than a restart of its process or a lost connection, and
+  /// two reports that are a second apart.
+  Utils::Milliseconds SilentAfter{2000};
   /// An unload that takes longer, and twice as long as expected, is overdue.
   Utils::Milliseconds UnloadPatience{1000};
 };
@@ -161,6 +165,8 @@
   std::map<std::string, OrderTrace> Orders;
   /// Reports by endpoint.
   std::map<std::string, SeenReport> Reports;
+  /// Since when no report of an endpoint could be read, by endpoint.
+  std::map<std::string, Utils::TimePoint> NoReportSince;
   /// Use by model.
   std::map<std::string, ModelUse> Uses;
   /// Gaps of all models; stands in for a model that is hardly known.
@@ -300,6 +306,16 @@
                 const std::string &endpoint, Engine::Report report,
                 Utils::TimePoint now);
 
+/// Notes that a report of the endpoint was asked for and could not be read.
+void noteNoReport(Knowledge &knowledge, const std::string &endpoint,
+                  Utils::TimePoint now);
+
+/// Engines that have not answered for Policy::SilentAfter. None when they are
+/// more than half of the live ones: then this daemon is likely cut off itself.
+std::set<std::string> silentEngines(const History::State &state,
+                                    const Knowledge &knowledge,
+                                    const Policy &policy, Utils::TimePoint now);
+
 /// Mark of what a round decides by in the state; another mark means a change.
 uint64_t changeMark(const History::State &state);
 
--- a/src/libs/placement/plan.cpp
+++ b/src/libs/placement/plan.cpp
@@ -98,6 +98,8 @@
 namespace {
 
 void addEndpoints(Plan &plan) {
+  std::set<std::string> silent =
+      silentEngines(plan.State, plan.Known, plan.Rules, plan.Now);
   plan.Endpoints.reserve(plan.State.Endpoints.size());
   for (const auto &[name, endpoint] : plan.State.Endpoints) {
     EndpointView &view = plan.Endpoints[name];
@@ -108,7 +110,9 @@
     if (!view.IsLiveEngine)
       continue;
     view.FreeMb = view.ComingMb = freeMb(endpoint, view.Report);
-    plan.Engines.push_back(&view);
+    view.IsSilent = silent.count(name) > 0;
+    if (!view.IsSilent)
+      plan.Engines.push_back(&view);
   }
 }
 
--- a/src/libs/placement/plan.h
+++ b/src/libs/placement/plan.h
@@ -26,6 +26,8 @@
   const History::Endpoint *Content = nullptr;
   const SeenReport *Report = nullptr;
   bool IsLiveEngine = false;
+  /// It answers no reports, see silentEngines().
+  bool IsSilent = false;
   uint64_t FreeMb = 0;
   /// Free memory, and what unloads decided so far will free.
   uint64_t ComingMb = 0;
--- a/src/libs/placement/steps.cpp
+++ b/src/libs/placement/steps.cpp
@@ -164,6 +164,7 @@
                 const std::string &endpoint, Engine::Report report,
                 Utils::TimePoint now) {
   knowledge.Reports[endpoint] = {std::move(report), now};
+  knowledge.NoReportSince.erase(endpoint);
   for (auto it = knowledge.Orders.begin(); it != knowledge.Orders.end();) {
     auto replica = state.Replicas.find(it->first);
     if (replica == state.Replicas.end() && it->second.InFlight == 0) {
--- a/src/libs/routing/outliers.cpp
+++ b/src/libs/routing/outliers.cpp
@@ -22,6 +22,7 @@
     return;
   }
   Health &health = Healths[endpoint];
+  health.LastFailure = now;
   if (++health.FailuresInRow < FailuresToEject)
     return;
   health.FailuresInRow = 0;
@@ -29,6 +30,24 @@
   health.EjectedUntil = now + BaseEjection * health.Ejections;
 }
 
+std::optional<Utils::TimePoint>
+Outliers::lastFailure(const std::string &endpoint) const {
+  std::lock_guard lock(Mutex);
+  auto it = Healths.find(endpoint);
+  if (it == Healths.end())
+    return std::nullopt;
+  return it->second.LastFailure;
+}
+
+std::vector<std::string> Outliers::failedSince(Utils::TimePoint at) const {
+  std::lock_guard lock(Mutex);
+  std::vector<std::string> names;
+  for (const auto &[name, health] : Healths)
+    if (health.LastFailure > at)
+      names.push_back(name);
+  return names;
+}
+
 std::set<std::string>
 Outliers::ejected(const std::vector<std::string> &endpoints,
                   Utils::TimePoint now) const {
--- a/tests/auto/placement/rounds.cpp
+++ b/tests/auto/placement/rounds.cpp
@@ -102,6 +102,8 @@
       it.Running = draw(3) == 0 ? draw(2 * Rules.BusyRequests) : 0;
     if (draw(10) == 0)
       report.Models.clear();
+    if (draw(6) == 0)
+      noteNoReport(Known, "e" + std::to_string(draw(Engines)), Now);
     for (auto &[id, it] : Known.Drains) {
       Known.Orders[id].OutcomeUnknown = draw(4) == 0;
       if (draw(3) == 0)
--- a/tests/auto/placement/tst_placementfaults.cpp
+++ b/tests/auto/placement/tst_placementfaults.cpp
@@ -92,6 +92,22 @@
   CHECK(faults("out of memory") == 0);
 }
 
+TEST_CASE_FIXTURE(UnfencedCluster,
+                  "engine, unreachable though on the VM list, has its model "
+                  "served elsewhere") {
+  REQUIRE(complete(0, "menu-small") == 200);
+  std::string cut;
+  Json status = All.status(0);
+  for (const Json &it : status["replicas"])
+    if (it["model"] == "menu-small")
+      cut = it["endpoint"];
+  FaultProxy::Faults refuse;
+  refuse.Refuse = true;
+  All.proxy().setFaults(cut, FaultProxy::Direction::ToTarget, refuse);
+  CHECK(eventually([&] { return complete(1, "menu-small") == 200; }));
+  CHECK(faults("out of memory") == 0);
+}
+
 TEST_CASE_FIXTURE(
     UnfencedCluster,
     "holder, killed in mid-load, leaves one replica that serves") {
--- a/tests/auto/routing/tst_routing.cpp
+++ b/tests/auto/routing/tst_routing.cpp
@@ -102,6 +102,22 @@
   }
 }
 
+TEST_CASE("outliers, endpoint fails and answers, tell the last failure until "
+          "it answers") {
+  Routing::Outliers outliers;
+  Utils::TimePoint now{};
+  CHECK(!outliers.lastFailure("e"));
+  outliers.record("e", true, now + std::chrono::seconds(1));
+  outliers.record("e", true, now + std::chrono::seconds(2));
+  CHECK(outliers.lastFailure("e") == now + std::chrono::seconds(2));
+  CHECK(!outliers.lastFailure("f"));
+  CHECK(outliers.failedSince(now + std::chrono::seconds(1)) ==
+        std::vector<std::string>{"e"});
+  CHECK(outliers.failedSince(now + std::chrono::seconds(2)).empty());
+  outliers.record("e", false, now + std::chrono::seconds(3));
+  CHECK(!outliers.lastFailure("e"));
+}
+
 TEST_CASE("endpoint is ejected after failures in a row, for longer each time, "
           "and comes back") {
   Outliers outliers;
