Explain: keep a line's writer and look back over midnight

Change: the first field of a name counts, the events say `peer`, start and stop no longer repeat the daemon; times are read by absl::ParseTime.

--- a/src/libs/daemon/daemon.cpp
+++ b/src/libs/daemon/daemon.cpp
@@ -239,16 +239,14 @@
   Data->Snapshot->start();
   Data->Membership->start();
   Data->Loads->start();
-  Utils::Event("started").with("daemon", Data->Shared.Settings.Name).info();
+  Utils::Event("started").info();
   return Utils::success();
 }
 
 Utils::TimePoint Process::leaveBalancer() {
   Internal::Context &shared = Data->Shared;
   if (!Data->Leaving.exchange(true))
-    Utils::Event("leaving_balancer")
-        .with("daemon", shared.Settings.Name)
-        .info();
+    Utils::Event("leaving_balancer").info();
   return shared.Clock.Now() +
          Utils::Milliseconds(shared.Settings.LeaveBalancerMs);
 }
@@ -258,7 +256,7 @@
     return;
   Internal::Context &shared = Data->Shared;
   Data->Leaving = true;
-  Utils::Event("stopping").with("daemon", shared.Settings.Name).info();
+  Utils::Event("stopping").info();
   Data->Door->drain();
   bool idle = Data->Door->waitIdle(
       shared.Clock.Now() + Utils::Milliseconds(shared.Settings.DrainMs));
@@ -282,7 +280,7 @@
   Data->Admin.stop();
   if (Data->AdminThread.joinable())
     Data->AdminThread.join();
-  Utils::Event("stopped").with("daemon", shared.Settings.Name).info();
+  Utils::Event("stopped").info();
 }
 
 } // namespace Daemon
--- a/src/libs/daemon/limitsholder.cpp
+++ b/src/libs/daemon/limitsholder.cpp
@@ -193,7 +193,7 @@
   // Not needed for the state: a lost one makes the other stop later.
   if (!Ports.Rpc.Call(lead.ReplacedHolder, HandoverTakenMethod, request, by))
     Utils::Event("handover_not_confirmed")
-        .with("daemon", lead.ReplacedHolder)
+        .with("peer", lead.ReplacedHolder)
         .warning();
   return *state;
 }
@@ -274,7 +274,7 @@
                                  team, Ports.Clock.Now() + CallBackTimeout);
     if (!answer)
       Utils::Event("tokens_not_called_back")
-          .with("daemon", it)
+          .with("peer", it)
           .with("why", answer.error().What)
           .warning();
   }
--- a/src/libs/daemon/peerdutyfeed.cpp
+++ b/src/libs/daemon/peerdutyfeed.cpp
@@ -80,7 +80,7 @@
   FeedFrom = Clock.Now() + FeederPause;
   setFed(false);
   Utils::Event("feeder_failed")
-      .with("daemon", *feeder)
+      .with("peer", *feeder)
       .with("why", reply ? "it holds newer records only" : reply.error().What)
       .info();
   return std::nullopt;
--- a/src/libs/daemon/peerdutylog.cpp
+++ b/src/libs/daemon/peerdutylog.cpp
@@ -245,7 +245,7 @@
   if (!state || state->NextOffset <= held)
     return false;
   Utils::Event("state_from_peer")
-      .with("daemon", daemon)
+      .with("peer", daemon)
       .with("next", state->NextOffset)
       .info();
   Store.replace(std::move(state.value()));
--- a/src/libs/explain/explain.cpp
+++ b/src/libs/explain/explain.cpp
@@ -2,6 +2,7 @@
 
 #include "explain/causes.h"
 
+#include <absl/time/time.h>
 #include <algorithm>
 #include <array>
 #include <set>
@@ -31,7 +32,7 @@
     "lines_dropped",
     "endpoint_change"};
 /// Enough for the rounds of a lease and of a new limits holder.
-constexpr int BackgroundSeconds = 15;
+constexpr absl::Duration BackgroundTime = absl::Seconds(15);
 constexpr size_t MaxBackground = 20;
 
 bool isBackground(const LogLine &line) {
@@ -39,15 +40,12 @@
                    line.Event) != BackgroundEvents.end();
 }
 
-/// Seconds of the day of a time as written; the hours around midnight of a
-/// request are looked at as if they lay a day apart.
-int secondsOf(const std::string &time) {
-  int h = 0;
-  int m = 0;
-  int s = 0;
-  if (std::sscanf(time.c_str(), "%*d-%*d-%*dT%d:%d:%d", &h, &m, &s) != 3)
-    return 0;
-  return (h * 60 + m) * 60 + s;
+/// Nothing for a line whose time cannot be read.
+std::optional<absl::Time> timeOf(const LogLine &line) {
+  absl::Time time;
+  if (!absl::ParseTime(absl::RFC3339_full, line.Time, &time, nullptr))
+    return std::nullopt;
+  return time;
 }
 
 void sortByTime(std::vector<LogLine> &lines) {
@@ -73,10 +71,12 @@
 std::vector<LogLine> backgroundOf(const std::vector<LogLine> &all,
                                   const LogLine &end) {
   std::vector<LogLine> lines;
+  auto endedAt = timeOf(end);
   for (const LogLine &it : all) {
-    int age = secondsOf(end.Time) - secondsOf(it.Time);
-    if (isBackground(it) && it.Daemon == end.Daemon && age >= 0 &&
-        age <= BackgroundSeconds)
+    if (!isBackground(it) || it.Daemon != end.Daemon)
+      continue;
+    auto at = timeOf(it);
+    if (endedAt && at && *at <= *endedAt && *endedAt - *at <= BackgroundTime)
       lines.push_back(it);
   }
   sortByTime(lines);
--- a/src/libs/explain/logline.cpp
+++ b/src/libs/explain/logline.cpp
@@ -77,7 +77,8 @@
       value = plainValue(text, at);
     if (!value)
       return std::nullopt;
-    line.Fields[name] = std::move(*value);
+    // The daemon that wrote the line stands first.
+    line.Fields.try_emplace(name, std::move(*value));
     while (at < text.size() && text[at] == ' ')
       ++at;
   }
--- a/tests/auto/explain/tst_explain.cpp
+++ b/tests/auto/explain/tst_explain.cpp
@@ -94,6 +94,28 @@
   CHECK(found.Background[0].field("is") == "holder_silent");
 }
 
+TEST_CASE("line that names another daemon too, parsed, keeps its writer") {
+  auto line =
+      parseLine("time=t level=info daemon=d0 event=feeder_failed daemon=d1");
+  REQUIRE(line);
+  CHECK(line->Daemon == "d0");
+}
+
+TEST_CASE("request just after midnight, explained, shows what changed just "
+          "before it") {
+  std::vector<LogLine> lines;
+  for (const char *text :
+       {"time=2026-01-30T23:59:58.500Z daemon=d0 event=dependency_lost "
+        "name=log",
+        "time=2026-01-30T00:00:04.000Z daemon=d0 event=stopping",
+        "time=2026-01-31T00:00:05.000Z daemon=d0 event=request id=r1 "
+        "status=503 reason=draining"})
+    lines.push_back(parseLine(text).value());
+  auto found = explain(lines, "r1");
+  REQUIRE(found.Background.size() == 1);
+  CHECK(found.Background[0].Event == "dependency_lost");
+}
+
 TEST_CASE_FIXTURE(Logs, "request answered late, explained, names the longest "
                         "wait") {
   add("d0", Utils::Event("admitted")
