Forget the silence of an engine that has left

Cause: NoReportSince and SuspectBoard kept names for good, so that an engine that left while silent counted as silent again the moment it was back, before any report was asked for, and the maps grew with every VM that failed. The case for the half rule marked every engine silent, so that no load was possible with or without the rule and it could not fail; it leaves one engine answering now.

--- a/src/libs/placement/placement.cpp
+++ b/src/libs/placement/placement.cpp
@@ -169,6 +169,7 @@
 
 void noteReplacements(Knowledge &knowledge, const State &state,
                       const Policy &policy, Utils::TimePoint now) {
+  forgetSilence(knowledge, state);
   Plan plan = Internal::makePlan(state, knowledge, policy, now);
   for (const auto &[id, replica] : state.Replicas) {
     const Internal::EndpointView &endpoint =
--- a/src/libs/placement/placement.h
+++ b/src/libs/placement/placement.h
@@ -310,6 +310,10 @@
 void noteNoReport(Knowledge &knowledge, const std::string &endpoint,
                   Utils::TimePoint now);
 
+/// Forgets the silence of engines that are not live: one that is back is asked
+/// anew.
+void forgetSilence(Knowledge &knowledge, const History::State &state);
+
 /// Engines that have not answered for Policy::SilentAfter. None when they are
 /// more than half of the live ones: then this daemon is likely cut off itself.
 std::set<std::string> silentEngines(const History::State &state,
--- a/tests/auto/placement/silence.cpp
+++ b/tests/auto/placement/silence.cpp
@@ -6,8 +6,10 @@
 
 /// Three engines, of which one holds a model in use and then answers no more.
 struct SilentFleet : PlacementFixture {
+  const std::vector<std::string> Names = {"e0", "e1", "e2"};
+
   SilentFleet() {
-    for (const char *it : {"e0", "e1", "e2"})
+    for (const std::string &it : Names)
       addEngine(it, "a");
     addModel("m", 2);
     demand("m");
@@ -47,6 +49,14 @@
   CHECK(planAfter(Rules.SilentAfter * 2).empty());
 }
 
+TEST_CASE_FIXTURE(SilentFleet, "engine that left while silent and is back, is "
+                               "asked anew before it counts as silent") {
+  addEngine(Silent, "a", History::EndpointLife::Gone);
+  planAfter(Rules.SilentAfter);
+  addEngine(Silent, "a");
+  CHECK(silentEngines(State, Known, Rules, Now).empty());
+}
+
 TEST_CASE_FIXTURE(SilentFleet, "model of one replica at most, is not loaded "
                                "beside the one that may be back") {
   State.Table.Models["m"].MaxReplicas = 1;
@@ -55,8 +65,10 @@
 
 TEST_CASE_FIXTURE(SilentFleet, "most engines answer no reports, nothing is "
                                "loaded: the holder is cut off") {
-  for (const char *it : {"e0", "e1", "e2"})
-    noteNoReport(Known, it, Now);
+  std::string answering = Silent == "e2" ? "e0" : "e2";
+  for (const std::string &it : Names)
+    if (it != answering)
+      noteNoReport(Known, it, Now);
   CHECK(planAfter(Rules.SilentAfter).empty());
 }
 
