--- a/src/libs/daemon/limitsexchange.cpp
+++ b/src/libs/daemon/limitsexchange.cpp
@@ -75,8 +75,13 @@
     return std::nullopt;
   }
   auto reply = Codec::decode<Limits::GrantReply>(*answer);
-  if (!reply)
+  if (!reply) {
+    Utils::Event("tokens_not_asked")
+        .with("holder", lead.Holder)
+        .with("why", reply.error().What)
+        .warning();
     return std::nullopt;
+  }
   return *reply;
 }
 
--- a/src/libs/daemon/waitingteller.cpp
+++ b/src/libs/daemon/waitingteller.cpp
@@ -71,14 +71,24 @@
     return;
   auto told = Shared.Rpc.Call(holder, WaitingMethod, Shared.Waiting.message(),
                               now + TellTimeout);
+  noteTold(told);
   ToldAny = any || !told;
 }
 
+void WaitingTeller::noteTold(const Utils::Outcome<std::string> &answer) {
+  if (answer)
+    Holder.noteAnswer();
+  else
+    Holder.noteFailure(answer.error().What);
+}
+
 void WaitingTeller::tellFailures(const std::string &holder,
                                  Utils::TimePoint now) {
   std::vector<std::string> failed = Shared.Outliers.failedSince(ToldFailuresAt);
-  if (Shared.Rpc.Call(holder, SuspectsMethod, Codec::encode(failed),
-                      now + TellTimeout))
+  auto told = Shared.Rpc.Call(holder, SuspectsMethod, Codec::encode(failed),
+                              now + TellTimeout);
+  noteTold(told);
+  if (told)
     ToldFailuresAt = now;
 }
 
--- a/src/libs/daemon/waitingteller.h
+++ b/src/libs/daemon/waitingteller.h
@@ -19,7 +19,10 @@
 private:
   void tellFailures(const std::string &holder, Utils::TimePoint now);
 
+  void noteTold(const Utils::Outcome<std::string> &answer);
+
   Context &Shared;
+  Utils::Dependency Holder{"placement holder", {}};
   Utils::TimePoint ToldAt;
   Utils::TimePoint ToldFailuresAt;
   bool ToldAny = false;
--- a/tests/auto/engine/tst_engine.cpp
+++ b/tests/auto/engine/tst_engine.cpp
@@ -316,3 +316,20 @@
   REQUIRE_FALSE(report);
   CHECK(report.error().What.find("memory_used_mb") != std::string::npos);
 }
+
+TEST_CASE("read from an offset that is not retained, without the next offset, "
+          "is corrupt rather than an empty log") {
+  std::string body = R"({"first":7})";
+  ScriptedServer server([&](const SeenRequest &) {
+    return ScriptedReply{"HTTP/1.1 410 Gone\r\nContent-Length: " +
+                             std::to_string(body.size()) + "\r\n\r\n" + body,
+                         true};
+  });
+  auto log = Platform::makeHttpLog("127.0.0.1", server.port());
+  CHECK(log.Read(0, 1, 0).error().Code == Utils::Errc::Corrupt);
+  body = R"({"first":7,"next":9})";
+  auto read = log.Read(0, 1, 0);
+  REQUIRE(read);
+  CHECK(read->FirstRetained == 7);
+  CHECK(read->NextOffset == 9);
+}
