--- a/src/app/commandline.cpp
+++ b/src/app/commandline.cpp
@@ -20,6 +20,10 @@
 const std::vector<Command> &commands() {
   static const std::vector<Command> table = {
       {"serve", "serve --settings FILE", "run a daemon", runServe},
+      {"gateway", "gateway",
+       "run on a VM of the platform, with the settings file that "
+       "HICKORYSPRING_CONFIG names",
+       runGateway},
       {"table",
        "table show [KIND]|export|import FILE|edit KIND NAME COLUMN=VALUE...|"
        "delete KIND NAME|history [KIND NAME] --settings FILE",
--- a/src/app/commandline.h
+++ b/src/app/commandline.h
@@ -28,6 +28,7 @@
 using Words = std::vector<std::string>;
 
 ExitCode runServe(const Words &words);
+ExitCode runGateway(const Words &words);
 ExitCode runTable(const Words &words);
 ExitCode runKey(const Words &words);
 ExitCode runCheck(const Words &words);
--- /dev/null
+++ b/src/app/gatewaycommand.cpp
@@ -0,0 +1,49 @@
+#include "commandline.h"
+
+#include "gateway/gateway.h"
+#include "platform/callheaders.h"
+#include "platform/storeclient.h"
+#include "platform/systemsettings.h"
+#include "utils/utils.h"
+
+#include <asio/io_context.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <unistd.h>
+
+namespace App {
+
+ExitCode runGateway(const Words &words) {
+  if (!words.empty())
+    return usageError("gateway takes no word: " + words.front());
+  const char *path = std::getenv(Platform::SettingsVariable);
+  if (!path)
+    return usageError("the environment variable HICKORYSPRING_CONFIG is not "
+                      "set; it names the settings file");
+  auto settings = Platform::readSettings(path);
+  if (!settings) {
+    std::cerr << "hickoryspring: " << settings.error().What << '\n';
+    return ExitCode::Refused;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGHUP, SIG_IGN);
+  Utils::EventLog log(STDOUT_FILENO, settings->VmName);
+  constexpr int loopThreads = 1;
+  asio::io_context loop(loopThreads);
+  HttpIo::ClientPool storeConnections(loop);
+  Gateway::Outside outside{Platform::makeCallWire(),
+                           Platform::makeStoreClient(storeConnections, loop,
+                                                     settings->StoreAddress,
+                                                     settings->DutyHandover)};
+  Gateway::Process process(loop, std::move(settings.value()),
+                           std::move(outside));
+  if (Utils::Status status = process.start(); !status) {
+    std::cerr << "hickoryspring: " << status.error().What << '\n';
+    return ExitCode::Unavailable;
+  }
+  loop.run();
+  return ExitCode::Done;
+}
+
+} // namespace App
--- /dev/null
+++ b/src/libs/balance/choose.cpp
@@ -0,0 +1,44 @@
+#include "balance/choose.h"
+
+#include <algorithm>
+
+namespace Balance {
+
+namespace {
+
+/// Share of its slots by which an endpoint of another failure domain must be
+/// less loaded to be preferred.
+constexpr double DomainPreference = 0.1;
+
+double cost(const Candidate &candidate) {
+  double slots = std::max(1U, candidate.Slots);
+  double load = candidate.Load / slots;
+  return load + (candidate.SameDomain ? 0 : DomainPreference);
+}
+
+/// The lower, the sooner an endpoint is taken, whatever its load.
+int rank(const Candidate &candidate) {
+  return (candidate.Tried ? 2 : 0) + (candidate.Avoided ? 1 : 0);
+}
+
+} // namespace
+
+std::optional<size_t> choose(const std::vector<Candidate> &candidates,
+                             std::mt19937_64 &random) {
+  std::vector<size_t> best;
+  for (size_t i = 0; i < candidates.size(); ++i) {
+    if (!best.empty() && rank(candidates[i]) > rank(candidates[best[0]]))
+      continue;
+    if (!best.empty() && rank(candidates[i]) < rank(candidates[best[0]]))
+      best.clear();
+    best.push_back(i);
+  }
+  if (best.empty())
+    return std::nullopt;
+  std::uniform_int_distribution<size_t> pick(0, best.size() - 1);
+  size_t first = best[pick(random)];
+  size_t second = best[pick(random)];
+  return cost(candidates[second]) < cost(candidates[first]) ? second : first;
+}
+
+} // namespace Balance
--- /dev/null
+++ b/src/libs/gateway/call.cpp
@@ -0,0 +1,151 @@
+#include "gateway/call.h"
+
+#include "gateway/gatewayconstants.h"
+#include "utils/utils.h"
+
+namespace Gateway {
+
+namespace {
+
+enum Status : unsigned {
+  BadRequest = 400,
+  Unauthorized = 401,
+  NotFound = 404,
+  Unavailable = 503,
+  GatewayTimeout = 504,
+};
+
+const std::string &pickService(const Fleet::Route &route,
+                               std::mt19937_64 &random) {
+  uint64_t sum = 0;
+  for (const Fleet::WeightedService &it : route.Services)
+    sum += it.Weight;
+  uint64_t at = sum == 0 ? 0 : random() % sum;
+  for (const Fleet::WeightedService &it : route.Services) {
+    if (at < it.Weight)
+      return it.Service;
+    at -= it.Weight;
+  }
+  return route.Services.front().Service;
+}
+
+} // namespace
+
+Call::Call(Shared &shared, HttpIo::CallerConnectionRef caller,
+           Http::Request request)
+    : State(shared), Caller(std::move(caller)), Request(std::move(request)),
+      ArrivedAt(Utils::BootClock::now()), DeadlineTimer(shared.Loop) {}
+
+void Call::start() {
+  if (!identify() || !admit())
+    return;
+  auto self = shared_from_this();
+  Caller->OnGone = [self] { self->onCallerGone(); };
+  DeadlineTimer.expires_at(Deadline);
+  DeadlineTimer.async_wait([self](const std::error_code &ec) {
+    if (!ec)
+      self->onDeadline();
+  });
+  dispatch();
+}
+
+bool Call::identify() {
+  auto facts = State.Wire.Calls.Decode(Request);
+  if (!facts) {
+    refuse(BadRequest, "malformed");
+    return false;
+  }
+  Facts = std::move(facts.value());
+  LastEventId = Facts.LastEventId;
+  Configuration = State.Known.configuration();
+  if (!Configuration) {
+    refuse(Unavailable, "no_configuration", DefaultComeBack);
+    return false;
+  }
+  const std::string *host = Request.Headers.find("Host");
+  Route =
+      Configuration->findRoute(host ? *host : "", Http::pathOf(Request.Target));
+  if (!Route) {
+    refuse(NotFound, "no_route");
+    return false;
+  }
+  Deadline = ArrivedAt + Route->Timeout;
+  if (Facts.Patience)
+    Deadline = std::min(Deadline, ArrivedAt + *Facts.Patience);
+  Service = pickService(*Route, State.Random);
+  return true;
+}
+
+bool Call::admit() {
+  if (Route->Public || !Configuration->usesKeys())
+    return true;
+  if (ArrivedAt > State.KeysTrustedUntil) {
+    refuse(Unavailable, "keys_out_of_date", DefaultComeBack);
+    return false;
+  }
+  Team = Configuration->findTeam(Facts.Key);
+  if (!Team)
+    refuse(Unauthorized, "unknown_key");
+  return Team != nullptr;
+}
+
+bool Call::streams() const {
+  return Route->Kind == Fleet::RouteKind::Streaming;
+}
+
+void Call::refuse(unsigned status, std::string_view reason,
+                  std::optional<Utils::Milliseconds> comeBack) {
+  Caller->respond(State.Wire.Calls.Answer(status, Facts.Id, comeBack), "");
+  finish(reason, status);
+}
+
+void Call::finish(std::string_view outcome, unsigned status) {
+  if (Done)
+    return;
+  Done = true;
+  DeadlineTimer.cancel();
+  Caller->OnGone = nullptr;
+  Utils::Event event("call_ended");
+  event.with("id", Facts.Id)
+      .with("outcome", outcome)
+      .with("status", status)
+      .with("route", Route ? Route->Name : "")
+      .with("team", Team ? Team->Name : "")
+      .with("model", Facts.Model)
+      .with("endpoint", EndpointId)
+      .with("sends", Sends)
+      .with("runs", RunsBegun)
+      .with("version", Configuration ? Configuration->Version : 0)
+      .with("ms", Utils::msBetween(ArrivedAt, Utils::BootClock::now()));
+  event.info();
+}
+
+void Call::onDeadline() {
+  if (Done)
+    return;
+  if (Connection) {
+    Connection->cancel();
+    endSend(Balance::SendEnd::Silent);
+  }
+  if (AnswerBegun) {
+    Caller->abort();
+    return finish("deadline_in_stream", 0);
+  }
+  if (RunsBegun == 0)
+    return refuse(Unavailable, "deadline_unsent", DefaultComeBack);
+  refuse(GatewayTimeout, "deadline");
+}
+
+void Call::onCallerGone() {
+  if (Done)
+    return;
+  // A call that may run only once is left to its end: breaking it off would
+  // leave the caller unable to learn what became of it.
+  if (Connection && Route->Kind != Fleet::RouteKind::Unsafe) {
+    Connection->cancel();
+    endSend(Balance::SendEnd::Withdrawn);
+  }
+  finish("caller_gone", 0);
+}
+
+} // namespace Gateway
--- /dev/null
+++ b/src/libs/gateway/call.h
@@ -0,0 +1,77 @@
+#ifndef GATEWAY_CALL_H
+#define GATEWAY_CALL_H
+
+#include "gateway/gateway.h"
+
+#include <set>
+
+namespace Gateway {
+
+/// One request of a caller, from its arrival to the end of its answer. Keeps
+/// itself alive by its callbacks.
+class Call : public std::enable_shared_from_this<Call> {
+public:
+  Call(Shared &shared, HttpIo::CallerConnectionRef caller,
+       Http::Request request);
+
+  void start();
+
+private:
+  bool admit();
+  bool identify();
+  void dispatch();
+  std::optional<std::string> pickEndpoint();
+  std::vector<const Fleet::Endpoint *> ableEndpoints() const;
+  bool isAble(const Fleet::Endpoint &endpoint) const;
+  void send(const Fleet::Endpoint &endpoint);
+  HttpIo::ResponseEvents responseEvents();
+  HttpIo::HeadVerdict onHead(const Http::ResponseHead &head,
+                             Http::Framing framing);
+  void onBody(std::string_view data);
+  void forwardEvents();
+  void onEnd(HttpIo::ExchangeEnd end);
+  void completeAnswer();
+  void onSendFailed(Balance::SendEnd end);
+  void onDeadline();
+  void onCallerGone();
+  void endSend(Balance::SendEnd end);
+  void refuse(unsigned status, std::string_view reason,
+              std::optional<Utils::Milliseconds> comeBack = std::nullopt);
+  void finish(std::string_view outcome, unsigned status);
+  bool streams() const;
+  void beginStream();
+
+  Shared &State;
+  HttpIo::CallerConnectionRef Caller;
+  Http::Request Request;
+  CallFacts Facts;
+  Fleet::ConfigurationRef Configuration;
+  const Fleet::Route *Route = nullptr;
+  const Fleet::Team *Team = nullptr;
+  std::string Service;
+  Utils::TimePoint ArrivedAt;
+  Utils::TimePoint Deadline;
+  HttpIo::Timer DeadlineTimer;
+
+  // The send under way.
+  HttpIo::ClientConnectionRef Connection;
+  std::string EndpointId;
+  std::string Peer;
+  Utils::TimePoint SentAt;
+  Http::ResponseHead Head;
+  bool HeadIsAnswer = false;
+  bool NotRun = false;
+  std::string Body;
+
+  /// Events that the caller has got whole, by the id of the last.
+  std::string LastEventId;
+  std::set<std::string> Tried;
+  uint32_t Sends = 0;
+  uint32_t RunsBegun = 0;
+  bool AnswerBegun = false;
+  bool Done = false;
+};
+
+} // namespace Gateway
+
+#endif // GATEWAY_CALL_H
--- /dev/null
+++ b/src/libs/gateway/callsend.cpp
@@ -0,0 +1,261 @@
+#include "gateway/call.h"
+
+#include "gateway/gatewayconstants.h"
+#include "utils/utils.h"
+
+#include <algorithm>
+
+namespace Gateway {
+
+namespace {
+
+constexpr unsigned BadGateway = 502;
+constexpr unsigned Unavailable = 503;
+
+constexpr std::string_view EventEnd = "\n\n";
+
+/// An idle connection older than this is not used for a call that may run only
+/// once: if it has ended unnoticed, nobody knows whether the call ran.
+constexpr std::chrono::milliseconds FreshConnection{1000};
+
+bool isSuccess(unsigned status) { return status >= 200 && status < 300; }
+
+/// The id of the last event in `events`, if one has an id.
+std::string lastIdIn(std::string_view events) {
+  constexpr std::string_view field = "id:";
+  size_t at = events.rfind("\nid:");
+  at = at != std::string_view::npos                  ? at + 1
+       : events.compare(0, field.size(), field) == 0 ? 0
+                                                     : at;
+  if (at == std::string_view::npos)
+    return {};
+  std::string_view value = events.substr(at + field.size());
+  value = value.substr(0, value.find('\n'));
+  while (!value.empty() && (value.front() == ' '))
+    value.remove_prefix(1);
+  while (!value.empty() && (value.back() == '\r'))
+    value.remove_suffix(1);
+  return std::string(value);
+}
+
+Http::ResponseHead forwardedHead(const Http::ResponseHead &head) {
+  Http::ResponseHead out;
+  out.Status = head.Status;
+  out.Reason = head.Reason;
+  for (const Http::Field &it : head.Headers)
+    if (!Http::isHopByHop(it.Name))
+      out.Headers.add(it.Name, it.Value);
+  return out;
+}
+
+} // namespace
+
+bool Call::isAble(const Fleet::Endpoint &endpoint) const {
+  const Fleet::EndpointReport &report = endpoint.Report;
+  if (report.Service != Service || report.State != Fleet::EndpointState::Ready)
+    return false;
+  if (Facts.Model.empty())
+    return true;
+  return Facts.Adapter.empty()
+             ? endpoint.holds(Facts.Model)
+             : endpoint.holdsAdapter(Facts.Model, Facts.Adapter);
+}
+
+std::vector<const Fleet::Endpoint *> Call::ableEndpoints() const {
+  std::vector<const Fleet::Endpoint *> able;
+  for (const auto &[id, endpoint] : State.Known.endpoints().all())
+    if (isAble(endpoint))
+      able.push_back(&endpoint);
+  return able;
+}
+
+std::optional<std::string> Call::pickEndpoint() {
+  auto able = ableEndpoints();
+  std::vector<Balance::Candidate> candidates;
+  for (const Fleet::Endpoint *it : able) {
+    const auto &health = State.Board.health(it->Report.Id);
+    candidates.push_back(
+        {health.InFlight, it->Report.Slots, health.AvoidUntil > SentAt,
+         it->Report.FailureDomain == State.Settings.FailureDomain,
+         Tried.count(it->Report.Id) > 0});
+  }
+  auto chosen = Balance::choose(candidates, State.Random);
+  if (!chosen)
+    return std::nullopt;
+  return able[*chosen]->Report.Id;
+}
+
+void Call::dispatch() {
+  SentAt = Utils::BootClock::now();
+  auto id = pickEndpoint();
+  if (!id)
+    return refuse(Unavailable, "no_endpoint", DefaultComeBack);
+  if (Deadline - SentAt < LeastTimeToSend)
+    return refuse(Unavailable, "no_time", std::nullopt);
+  Balance::RetryBudget &budget = State.retryBudget(Service);
+  if (Sends == 0)
+    budget.firstSend(SentAt);
+  send(*State.Known.endpoints().find(*id));
+}
+
+void Call::send(const Fleet::Endpoint &endpoint) {
+  std::error_code ec;
+  auto address = HttpIo::parseEndpoint(endpoint.Report.Address, ec);
+  EndpointId = endpoint.Report.Id;
+  Tried.insert(EndpointId);
+  if (ec) {
+    Utils::Event("endpoint_address_unreadable")
+        .with("endpoint", EndpointId)
+        .with("address", endpoint.Report.Address)
+        .error();
+    NotRun = true;
+    return onSendFailed(Balance::SendEnd::Broken);
+  }
+  Peer = endpoint.Report.Address + "/" + EndpointId;
+  static const std::string noTeam;
+  uint8_t priority = Team && Team->Priority ? *Team->Priority : Route->Priority;
+  auto left =
+      std::chrono::duration_cast<Utils::Milliseconds>(Deadline - SentAt);
+  SendFacts facts{EndpointId, Team ? Team->Name : noTeam, left, priority,
+                  LastEventId};
+  bool once = Route->Kind == Fleet::RouteKind::Unsafe;
+  Connection = State.Connections.take(Peer, once ? SentAt - FreshConnection
+                                                 : Utils::TimePoint::min());
+  ++Sends;
+  ++RunsBegun;
+  NotRun = HeadIsAnswer = false;
+  Body.clear();
+  State.Board.sent(EndpointId);
+  Connection->exchange(
+      address, Http::requestText(State.Wire.Calls.Forward(Request, facts)),
+      responseEvents());
+}
+
+HttpIo::ResponseEvents Call::responseEvents() {
+  auto self = shared_from_this();
+  HttpIo::ResponseEvents events;
+  events.OnHead = [self](const Http::ResponseHead &head,
+                         Http::Framing framing) {
+    return self->onHead(head, framing);
+  };
+  events.OnBody = [self](std::string_view data) { self->onBody(data); };
+  events.OnEnd = [self](HttpIo::ExchangeEnd end) { self->onEnd(end); };
+  return events;
+}
+
+HttpIo::HeadVerdict Call::onHead(const Http::ResponseHead &head,
+                                 Http::Framing) {
+  ReplyFacts reply = State.Wire.Calls.Reply(head);
+  if (!reply.CallId.empty() && reply.CallId != Facts.Id)
+    return HttpIo::HeadVerdict::Skip;
+  NotRun = reply.NotRun;
+  HeadIsAnswer = reply.Genuine && !NotRun;
+  Head = head;
+  if (HeadIsAnswer)
+    State.Board.answering(
+        EndpointId, double(Utils::msBetween(SentAt, Utils::BootClock::now())));
+  return HttpIo::HeadVerdict::Accept;
+}
+
+void Call::onBody(std::string_view data) {
+  Body += data;
+  if (HeadIsAnswer && streams() && isSuccess(Head.Status) && !Done)
+    forwardEvents();
+}
+
+/// Forwards the events that are complete.
+void Call::forwardEvents() {
+  size_t end = Body.rfind(EventEnd);
+  if (end == std::string::npos)
+    return;
+  std::string_view events =
+      std::string_view(Body).substr(0, end + EventEnd.size());
+  beginStream();
+  Caller->streamData(events);
+  if (std::string id = lastIdIn(events); !id.empty())
+    LastEventId = id;
+  Body.erase(0, events.size());
+}
+
+void Call::beginStream() {
+  if (std::exchange(AnswerBegun, true))
+    return;
+  Caller->beginStream(forwardedHead(Head));
+}
+
+void Call::onEnd(HttpIo::ExchangeEnd end) {
+  if (end == HttpIo::ExchangeEnd::NotConnected) {
+    NotRun = true;
+    return onSendFailed(Balance::SendEnd::Broken);
+  }
+  if (end != HttpIo::ExchangeEnd::Complete) {
+    NotRun = false;
+    return onSendFailed(Balance::SendEnd::Broken);
+  }
+  State.Connections.give(Peer, Connection);
+  if (NotRun)
+    return onSendFailed(Balance::SendEnd::Refused);
+  if (!HeadIsAnswer)
+    return onSendFailed(Balance::SendEnd::Broken);
+  bool repeatable = Route->Kind == Fleet::RouteKind::Safe && !Done &&
+                    Head.Status >= 500 && RunsBegun < Route->Attempts &&
+                    State.retryBudget(Service).takeRepeat(SentAt);
+  endSend(Balance::SendEnd::Answered);
+  if (repeatable)
+    return dispatch();
+  completeAnswer();
+}
+
+void Call::completeAnswer() {
+  if (Done)
+    return;
+  if (!streams() || !isSuccess(Head.Status)) {
+    if (AnswerBegun) { // A resumed stream that the next endpoint rejected.
+      Caller->abort();
+      return finish("resume_failed", Head.Status);
+    }
+    Caller->respond(forwardedHead(Head), Body);
+    return finish("answered", Head.Status);
+  }
+  beginStream();
+  Caller->streamData(Body);
+  Caller->endStream();
+  finish("answered", Head.Status);
+}
+
+void Call::endSend(Balance::SendEnd end) {
+  State.Board.ended(EndpointId, end, Utils::BootClock::now());
+  Connection.reset();
+}
+
+void Call::onSendFailed(Balance::SendEnd end) {
+  if (NotRun && RunsBegun > 0)
+    --RunsBegun;
+  endSend(end);
+  if (Done)
+    return;
+  Balance::Progress progress;
+  progress.Kind = Route->Kind;
+  progress.Resumable = Route->Resumable;
+  progress.RunsBegun = RunsBegun;
+  progress.RunsAllowed = Route->Attempts;
+  progress.NotRun = NotRun;
+  progress.AnswerBegun = AnswerBegun;
+  Utils::TimePoint now = Utils::BootClock::now();
+  progress.TimeLeft = now + LeastTimeToSend < Deadline &&
+                      State.retryBudget(Service).takeRepeat(now);
+  switch (Balance::afterFailure(progress)) {
+  case Balance::NextStep::SendAgain:
+  case Balance::NextStep::Resume:
+    return dispatch();
+  case Balance::NextStep::Refuse:
+    return refuse(Unavailable, "not_run", DefaultComeBack);
+  case Balance::NextStep::Fail:
+    return refuse(BadGateway, "endpoint_failed");
+  case Balance::NextStep::Break:
+    Caller->abort();
+    return finish("stream_broken", 0);
+  }
+}
+
+} // namespace Gateway
--- /dev/null
+++ b/src/libs/gateway/gateway.h
@@ -0,0 +1,83 @@
+#ifndef GATEWAY_GATEWAY_H
+#define GATEWAY_GATEWAY_H
+
+/// Public header of the gateway library: the process that stands between
+/// callers and endpoints on one VM, on one Asio loop.
+#include "balance/balance.h"
+#include "gateway/callwire.h"
+#include "gateway/gatewaysettings.h"
+#include "gateway/store.h"
+#include "gateway/topicfeed.h"
+#include "gateway/view.h"
+#include "httpio/httpio.h"
+
+#include <asio/signal_set.hpp>
+#include <map>
+#include <memory>
+#include <random>
+
+namespace Gateway {
+
+/// What the gateway speaks to the outside.
+struct Outside {
+  CallWire Calls;
+  Store PlatformStore;
+};
+
+/// What all calls of the process share.
+struct Shared {
+  Shared(asio::io_context &loop, GatewaySettings settings, Outside outside);
+
+  asio::io_context &Loop;
+  GatewaySettings Settings;
+  Outside Wire;
+  HttpIo::ClientPool Connections;
+  View Known;
+  Balance::EndpointBoard Board;
+  std::map<std::string, Balance::RetryBudget> RetryBudgets;
+  std::mt19937_64 Random;
+  /// Keys are known to be valid until then.
+  Utils::TimePoint KeysTrustedUntil{};
+
+  Balance::RetryBudget &retryBudget(const std::string &service);
+};
+
+class Process {
+public:
+  Process(asio::io_context &loop, GatewaySettings settings, Outside outside);
+
+  /// Opens the addresses and begins to read the store.
+  Utils::Status start();
+  /// Stops taking callers; the loop ends when the last ones are answered or
+  /// the grace is nearly over.
+  void leave();
+
+private:
+  Utils::Status listen();
+  void onCallerRequest(const HttpIo::CallerConnectionRef &, Http::Request);
+  void onReadinessRequest(const HttpIo::CallerConnectionRef &, Http::Request);
+  void applyLimits();
+  void keepHouse();
+  void awaitSignals();
+  void finishLeaving();
+  bool isReady() const;
+
+  asio::io_context &Loop;
+  Shared State;
+  std::shared_ptr<HttpIo::ServerPolicy> CallerPolicy;
+  std::shared_ptr<HttpIo::ServerPolicy> ReadinessPolicy;
+  HttpIo::Listener Callers;
+  HttpIo::Listener Readiness;
+  TopicFeed Configurations;
+  TopicFeed Endpoints;
+  asio::signal_set Signals;
+  HttpIo::Timer HouseTimer;
+  HttpIo::Timer LeaveTimer;
+  bool Leaving = false;
+  Utils::TimePoint LeaveDeadline;
+  Utils::TimePoint CloseIdleAt;
+};
+
+} // namespace Gateway
+
+#endif // GATEWAY_GATEWAY_H
--- /dev/null
+++ b/src/libs/gateway/gatewayconstants.h
@@ -0,0 +1,46 @@
+#ifndef GATEWAY_GATEWAYCONSTANTS_H
+#define GATEWAY_GATEWAYCONSTANTS_H
+
+#include <chrono>
+
+namespace Gateway {
+
+using std::chrono::milliseconds;
+
+/// How long a read of the configuration waits for news. A connection that went
+/// silent is noticed within it, and the bound on configuration is 2 s.
+constexpr milliseconds ConfigurationPatience{1000};
+/// Pause between reads of the endpoints' reports. Endpoints must be left
+/// within 2 s of their notice; every report would end a waiting read, so these
+/// reads do not wait.
+constexpr milliseconds EndpointPause{700};
+/// An answer of the store takes 4 ms, 300 ms when it is slow.
+constexpr milliseconds StoreAnswerLimit{700};
+/// Pause after a failed call to the store, doubled up to the second figure so
+/// that all VMs together stay far below the store's rate.
+constexpr milliseconds FirstStorePause{100};
+constexpr milliseconds LongestStorePause{1000};
+
+/// Kept off the bound on withdrawn keys for the way of a call from its
+/// admission to the endpoint.
+constexpr milliseconds KeyMargin{500};
+
+/// Come-back time of a refusal when nothing better is known.
+constexpr milliseconds DefaultComeBack{500};
+
+/// Least time left with which a call is still sent to an endpoint; a round
+/// trip to an endpoint takes up to 4 ms.
+constexpr milliseconds LeastTimeToSend{5};
+
+/// How long calls keep coming over open connections of a VM that leaves. The
+/// balancer stops sending new ones after two questions, one a second.
+constexpr milliseconds LeaveBalancer{2500};
+/// Kept off the time to the kill for the last answers.
+constexpr milliseconds StopMargin{700};
+
+/// How often counters of idle connections and waiting calls are looked at.
+constexpr milliseconds HousekeepingInterval{1000};
+
+} // namespace Gateway
+
+#endif // GATEWAY_GATEWAYCONSTANTS_H
--- /dev/null
+++ b/src/libs/gateway/process.cpp
@@ -0,0 +1,173 @@
+#include "gateway/gateway.h"
+
+#include "gateway/call.h"
+#include "gateway/gatewayconstants.h"
+#include "utils/utils.h"
+
+#include <csignal>
+
+namespace Gateway {
+
+namespace {
+
+/// Part of the fleet's retry budget that a VM uses before it knows how many
+/// VMs share it. Sites have 7 and more of them.
+constexpr double RetryShareOfSlack = 0.05;
+/// Part of the allowed ratio that is used, for sends that are counted in a
+/// later window than their call.
+constexpr double RetryRatioUsed = 0.8;
+
+} // namespace
+
+Shared::Shared(asio::io_context &loop, GatewaySettings settings,
+               Outside outside)
+    : Loop(loop), Settings(std::move(settings)), Wire(std::move(outside)),
+      Connections(loop), Known(Wire.PlatformStore),
+      Random(std::random_device{}()) {}
+
+Balance::RetryBudget &Shared::retryBudget(const std::string &service) {
+  Balance::RetryBudget::Policy policy;
+  policy.Ratio = Settings.RetryRatio * RetryRatioUsed;
+  policy.Slack = std::max(1.0, Settings.RetrySlack * RetryShareOfSlack);
+  policy.Window = Settings.RetryWindow;
+  return RetryBudgets.try_emplace(service, policy).first->second;
+}
+
+Process::Process(asio::io_context &loop, GatewaySettings settings,
+                 Outside outside)
+    : Loop(loop), State(loop, std::move(settings), std::move(outside)),
+      CallerPolicy(std::make_shared<HttpIo::ServerPolicy>()),
+      ReadinessPolicy(std::make_shared<HttpIo::ServerPolicy>()),
+      Callers(loop, CallerPolicy), Readiness(loop, ReadinessPolicy),
+      Configurations(loop, State.Wire.PlatformStore,
+                     {Topic::Operators, ConfigurationPatience, {}},
+                     [this](const auto &records, bool) {
+                       State.Known.takeOperators(records);
+                     }),
+      Endpoints(
+          loop, State.Wire.PlatformStore, {Topic::Endpoints, {}, EndpointPause},
+          [this](const auto &records, bool whole) {
+            State.Known.takeEndpoints(records, whole, Utils::BootClock::now());
+          }),
+      Signals(loop, SIGTERM, SIGINT), HouseTimer(loop), LeaveTimer(loop) {
+  State.Known.OnConfiguration = [this] { applyLimits(); };
+  State.Known.OnEndpoint = [this](const std::string &id) {
+    if (!State.Known.endpoints().find(id))
+      State.Board.forget(id);
+  };
+  CallerPolicy->OnRequest = [this](const auto &caller, Http::Request request) {
+    onCallerRequest(caller, std::move(request));
+  };
+  ReadinessPolicy->OnRequest = [this](const auto &caller,
+                                      Http::Request request) {
+    onReadinessRequest(caller, std::move(request));
+  };
+}
+
+Utils::Status Process::listen() {
+  std::error_code ec;
+  auto open = [&](HttpIo::Listener &listener, const std::string &address) {
+    auto endpoint = HttpIo::parseEndpoint(address, ec);
+    if (!ec)
+      listener.start(endpoint, ec);
+    if (ec)
+      return Utils::Status(Utils::failure(Utils::Errc::Unavailable,
+                                          "cannot listen at \"" + address +
+                                              "\": " + ec.message()));
+    return Utils::success();
+  };
+  if (auto status = open(Callers, State.Settings.CallerAddress); !status)
+    return status;
+  return open(Readiness, State.Settings.ReadinessAddress);
+}
+
+Utils::Status Process::start() {
+  if (auto status = listen(); !status)
+    return status;
+  Utils::Event("started")
+      .with("vm", State.Settings.VmName)
+      .with("domain", State.Settings.FailureDomain)
+      .with("address", State.Settings.CallerAddress)
+      .info();
+  awaitSignals();
+  Configurations.start();
+  Endpoints.start();
+  keepHouse();
+  return Utils::success();
+}
+
+void Process::applyLimits() {
+  const Fleet::CallerLimits &limits = State.Known.configuration()->Limits;
+  CallerPolicy->Limits = {limits.HeaderBytes, limits.BodyBytes};
+  CallerPolicy->HeaderTimeout = limits.HeaderTimeout;
+  CallerPolicy->IdleTimeout = limits.IdleTimeout;
+}
+
+bool Process::isReady() const {
+  return !Leaving && State.Known.configuration() != nullptr &&
+         Endpoints.hasRead();
+}
+
+void Process::onReadinessRequest(const HttpIo::CallerConnectionRef &caller,
+                                 Http::Request) {
+  constexpr unsigned ok = 200;
+  constexpr unsigned unavailable = 503;
+  caller->respond({isReady() ? ok : unavailable, "", {}}, "");
+}
+
+void Process::onCallerRequest(const HttpIo::CallerConnectionRef &caller,
+                              Http::Request request) {
+  State.KeysTrustedUntil =
+      Configurations.completeUntil() + State.Settings.KeyWithdrawal - KeyMargin;
+  std::make_shared<Call>(State, caller, std::move(request))->start();
+}
+
+void Process::keepHouse() {
+  State.Connections.sweep();
+  HouseTimer.expires_after(HousekeepingInterval);
+  HouseTimer.async_wait([this](const std::error_code &ec) {
+    if (!ec)
+      keepHouse();
+  });
+}
+
+void Process::awaitSignals() {
+  Signals.async_wait([this](const std::error_code &ec, int signal) {
+    if (ec)
+      return;
+    Utils::Event("stop_signal").with("signal", signal).info();
+    leave();
+  });
+}
+
+void Process::leave() {
+  if (Leaving)
+    return;
+  Leaving = true;
+  CallerPolicy->Leaving = true;
+  Utils::TimePoint now = Utils::BootClock::now();
+  LeaveDeadline = now + State.Settings.StopGrace - StopMargin;
+  CloseIdleAt = now + LeaveBalancer;
+  finishLeaving();
+}
+
+void Process::finishLeaving() {
+  Utils::TimePoint now = Utils::BootClock::now();
+  if (now >= CloseIdleAt)
+    Callers.closeIdle();
+  bool done = now >= CloseIdleAt && Callers.connections() == 0;
+  if (done || now >= LeaveDeadline) {
+    Utils::Event("stopped")
+        .with("open_connections", Callers.connections())
+        .info();
+    return Loop.stop();
+  }
+  constexpr milliseconds step{50};
+  LeaveTimer.expires_after(step);
+  LeaveTimer.async_wait([this](const std::error_code &ec) {
+    if (!ec)
+      finishLeaving();
+  });
+}
+
+} // namespace Gateway
--- /dev/null
+++ b/src/libs/gateway/topicfeed.cpp
@@ -0,0 +1,78 @@
+#include "gateway/topicfeed.h"
+
+#include "gateway/gatewayconstants.h"
+#include "utils/utils.h"
+
+#include <algorithm>
+
+namespace Gateway {
+
+namespace {
+
+std::string_view topicLabel(Topic topic) {
+  return topic == Topic::Operators ? "configuration" : "endpoints";
+}
+
+} // namespace
+
+TopicFeed::TopicFeed(asio::io_context &loop, const Store &store, Plan plan,
+                     Take take)
+    : Source(store), Steps(plan), OnRecords(std::move(take)), Pause(loop),
+      Random(std::random_device{}()) {}
+
+void TopicFeed::start() { read(); }
+
+void TopicFeed::read() {
+  Utils::TimePoint now = Utils::BootClock::now();
+  bool whole = !Complete;
+  auto done = [this, now, whole](Utils::Outcome<TopicRead> result) {
+    onRead(std::move(result), now, whole);
+  };
+  if (whole)
+    return Source.ReadAll(Steps.Source, now + StoreAnswerLimit, done);
+  Source.ReadFrom(Steps.Source, Next, Steps.Patience,
+                  now + Steps.Patience + StoreAnswerLimit, done);
+}
+
+void TopicFeed::onRead(Utils::Outcome<TopicRead> result,
+                       Utils::TimePoint sentAt, bool whole) {
+  if (!result)
+    return onFailure(result.error());
+  if (Failures > 0)
+    Utils::Event("dependency_regained")
+        .with("dependency", topicLabel(Steps.Source))
+        .with("failures", Failures)
+        .info();
+  Failures = 0;
+  Complete = true;
+  CompleteUntil = sentAt;
+  Next = result->Next;
+  if (whole || !result->Records.empty())
+    OnRecords(result->Records, whole);
+  readAfter(Steps.Pause);
+}
+
+void TopicFeed::onFailure(const Utils::Failure &failure) {
+  if (failure.Code == Utils::Errc::OutOfRange)
+    Complete = false; // Records were deleted before they were read.
+  if (Failures++ == 0)
+    Utils::Event("dependency_lost")
+        .with("dependency", topicLabel(Steps.Source))
+        .with("error", failure.What)
+        .warning();
+  auto pause = std::min(FirstStorePause * (1 << std::min(Failures - 1, 6U)),
+                        LongestStorePause);
+  std::uniform_int_distribution<int64_t> spread(pause.count() / 2,
+                                                pause.count());
+  readAfter(Utils::Milliseconds(spread(Random)));
+}
+
+void TopicFeed::readAfter(Utils::Milliseconds pause) {
+  Pause.expires_after(pause);
+  Pause.async_wait([this](const std::error_code &ec) {
+    if (!ec)
+      read();
+  });
+}
+
+} // namespace Gateway
--- /dev/null
+++ b/src/libs/gateway/topicfeed.h
@@ -0,0 +1,55 @@
+#ifndef GATEWAY_TOPICFEED_H
+#define GATEWAY_TOPICFEED_H
+
+#include "gateway/store.h"
+#include "httpio/httpio.h"
+
+#include <functional>
+#include <random>
+
+namespace Gateway {
+
+/// Follows one topic of the store: all of it at first and after a gap, then
+/// what is added.
+class TopicFeed {
+public:
+  struct Plan {
+    Topic Source = Topic::Operators;
+    /// How long a read waits for a record; 0 for reads that do not wait.
+    Utils::Milliseconds Patience{0};
+    /// Pause after a read.
+    Utils::Milliseconds Pause{0};
+  };
+  /// `whole`: the records are all there are, not an addition.
+  using Take =
+      std::function<void(const std::vector<TopicRecord> &, bool whole)>;
+
+  TopicFeed(asio::io_context &loop, const Store &store, Plan plan, Take take);
+
+  void start();
+  /// What was taken is complete up to this point; the epoch before the first
+  /// read.
+  Utils::TimePoint completeUntil() const { return CompleteUntil; }
+  bool hasRead() const { return Complete; }
+
+private:
+  void read();
+  void onRead(Utils::Outcome<TopicRead> result, Utils::TimePoint sentAt,
+              bool whole);
+  void onFailure(const Utils::Failure &failure);
+  void readAfter(Utils::Milliseconds pause);
+
+  const Store &Source;
+  Plan Steps;
+  Take OnRecords;
+  HttpIo::Timer Pause;
+  std::minstd_rand Random;
+  uint64_t Next = 0;
+  bool Complete = false;
+  uint32_t Failures = 0;
+  Utils::TimePoint CompleteUntil{};
+};
+
+} // namespace Gateway
+
+#endif // GATEWAY_TOPICFEED_H
--- /dev/null
+++ b/src/libs/gateway/view.cpp
@@ -0,0 +1,81 @@
+#include "gateway/view.h"
+
+#include "utils/utils.h"
+
+namespace Gateway {
+
+View::View(const Store &store) : Source(store) {}
+
+void View::takeOperators(const std::vector<TopicRecord> &records) {
+  for (const TopicRecord &it : records)
+    if (it.Key == Source.ConfigurationKey && it.Value)
+      takeConfiguration(*it.Value);
+}
+
+void View::takeConfiguration(const std::string &text) {
+  auto decoded = Source.DecodeConfiguration(text);
+  if (!decoded) {
+    Utils::Event("configuration_unreadable")
+        .with("error", decoded.error().What)
+        .error();
+    return;
+  }
+  if (Current && (*decoded)->Version <= Current->Version)
+    return;
+  Current = *decoded;
+  Utils::Event("configuration_applied")
+      .with("version", Current->Version)
+      .with("routes", Current->Routes.size())
+      .with("teams", Current->Teams.size())
+      .info();
+  if (OnConfiguration)
+    OnConfiguration();
+}
+
+void View::takeEndpoints(const std::vector<TopicRecord> &records, bool whole,
+                         Utils::TimePoint now) {
+  if (whole) {
+    std::vector<std::string> ids;
+    for (const TopicRecord &it : records)
+      if (it.Value)
+        ids.push_back(it.Key);
+    Endpoints.retain(ids, now);
+  }
+  for (const TopicRecord &it : records)
+    takeEndpoint(it, now);
+}
+
+void View::takeEndpoint(const TopicRecord &record, Utils::TimePoint now) {
+  if (!record.Value) {
+    if (!Endpoints.remove(record.Key, now))
+      return;
+    Utils::Event("endpoint_gone").with("endpoint", record.Key).info();
+    if (OnEndpoint)
+      OnEndpoint(record.Key);
+    return;
+  }
+  auto decoded = Source.DecodeEndpoint(record.Key, *record.Value);
+  if (!decoded) {
+    Utils::Event("endpoint_entry_unreadable")
+        .with("endpoint", record.Key)
+        .with("error", decoded.error().What)
+        .warning();
+    return;
+  }
+  const Fleet::Endpoint *before = Endpoints.find(record.Key);
+  bool known = before != nullptr;
+  auto oldState = known ? before->Report.State : Fleet::EndpointState::Ready;
+  Fleet::EndpointState newState = decoded->State;
+  if (!Endpoints.update(std::move(decoded.value()), now))
+    return;
+  if (!known || oldState != newState)
+    Utils::Event("endpoint_changed")
+        .with("endpoint", record.Key)
+        .with("state",
+              newState == Fleet::EndpointState::Ready ? "ready" : "draining")
+        .info();
+  if (OnEndpoint)
+    OnEndpoint(record.Key);
+}
+
+} // namespace Gateway
--- a/src/libs/utils/utils.h
+++ b/src/libs/utils/utils.h
@@ -2,6 +2,7 @@
 #define UTILS_UTILS_H
 
 /// Public header of the utils library.
+#include "utils/bootclock.h"
 #include "utils/boundedring.h"
 #include "utils/clock.h"
 #include "utils/dependency.h"
--- /dev/null
+++ b/tests/auto/gateway/gatewayworld.cpp
@@ -0,0 +1,279 @@
+#include "gatewayworld.h"
+
+#include "platform/callheaders.h"
+
+#include <asio/write.hpp>
+#include <doctest/doctest.h>
+
+using namespace std::chrono_literals;
+using HttpIo::Tcp;
+
+namespace {
+
+const Tcp::endpoint Loopback(asio::ip::address_v4::loopback(), 0);
+
+std::string textOf(const Tcp::endpoint &endpoint) {
+  return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
+} // namespace
+
+struct ScriptedEndpoint::Peer {
+  explicit Peer(Tcp::socket socket) : Socket(std::move(socket)) {}
+  Tcp::socket Socket;
+  Http::RequestParser Parser{Http::RequestLimits{}};
+  std::array<char, 4096> Buffer;
+  std::string Input;
+  std::string Output;
+};
+
+ScriptedEndpoint::ScriptedEndpoint(asio::io_context &loop,
+                                   std::deque<Script> &scripts)
+    : Loop(loop), Scripts(scripts), Acceptor(loop, Loopback) {
+  accept();
+}
+
+std::string ScriptedEndpoint::address() const {
+  return textOf(Acceptor.local_endpoint());
+}
+
+void ScriptedEndpoint::accept() {
+  Acceptor.async_accept([this](const std::error_code &ec, Tcp::socket socket) {
+    if (ec)
+      return;
+    ++Accepted;
+    read(std::make_shared<Peer>(std::move(socket)));
+    accept();
+  });
+}
+
+void ScriptedEndpoint::read(const std::shared_ptr<Peer> &peer) {
+  peer->Socket.async_read_some(
+      asio::buffer(peer->Buffer),
+      [this, peer](const std::error_code &ec, size_t n) {
+        if (ec) {
+          ++Ended;
+          return;
+        }
+        peer->Input.append(peer->Buffer.data(), n);
+        if (peer->Parser.feed(peer->Input) == Http::RequestState::Complete)
+          play(peer, peer->Parser.take(Http::RequestLimits{}));
+        if (peer->Socket.is_open())
+          read(peer);
+      });
+}
+
+void ScriptedEndpoint::play(const std::shared_ptr<Peer> &peer,
+                            const Http::Request &request) {
+  Requests.push_back(request);
+  if (Scripts.empty())
+    return; // Silent.
+  Script script = Scripts.front();
+  Scripts.pop_front();
+  const std::string *id = request.Headers.find("Request-Id");
+  for (size_t at; (at = script.Text.find("@ID@")) != std::string::npos;)
+    script.Text.replace(at, 4, id ? *id : "");
+  peer->Output = script.Text;
+  asio::async_write(peer->Socket, asio::buffer(peer->Output),
+                    [peer, script](const std::error_code &, size_t) {
+                      if (script.After == Script::Then::Keep)
+                        return;
+                      if (script.After == Script::Then::Reset)
+                        peer->Socket.set_option(
+                            asio::socket_base::linger(true, 0));
+                      peer->Socket.close();
+                    });
+}
+
+RawCaller::RawCaller(asio::io_context &loop, const Tcp::endpoint &peer)
+    : Socket(loop) {
+  Socket.connect(peer);
+  read();
+}
+
+void RawCaller::send(const std::string &text) {
+  asio::write(Socket, asio::buffer(text));
+}
+
+void RawCaller::read() {
+  Socket.async_read_some(asio::buffer(Buffer),
+                         [this](const std::error_code &ec, size_t n) {
+                           Received.append(Buffer.data(), n);
+                           Ended = bool(ec);
+                           if (!ec)
+                             read();
+                         });
+}
+
+GatewayWorld::GatewayWorld() {
+  Settings.VmName = "vm";
+  Settings.FailureDomain = "z";
+  Settings.RetrySlack = 100;
+  Settings.CallerAddress = "127.0.0.1:" + std::to_string(freePort());
+  Settings.ReadinessAddress = "127.0.0.1:" + std::to_string(freePort());
+}
+
+uint16_t GatewayWorld::freePort() {
+  return Tcp::acceptor(Loop, Loopback).local_endpoint().port();
+}
+
+ScriptedEndpoint &GatewayWorld::addEndpoint(const std::string &service,
+                                            std::vector<std::string> models) {
+  Endpoints.emplace_back(Loop, Scripts);
+  Fleet::EndpointReport report;
+  report.Id = "i-" + std::to_string(Endpoints.size());
+  report.Service = service;
+  report.Address = Endpoints.back().address();
+  report.FailureDomain = "z";
+  report.Slots = 4;
+  for (std::string &it : models)
+    report.Models.push_back({std::move(it), 1, {}});
+  Reports.push_back(report);
+  return Endpoints.back();
+}
+
+Fleet::Route &GatewayWorld::addRoute(const std::string &prefix,
+                                     const std::string &service,
+                                     Fleet::RouteKind kind) {
+  Fleet::Route route;
+  route.Name = "r" + std::to_string(Config.Routes.size());
+  route.Host = "h";
+  route.Prefix = prefix;
+  route.Kind = kind;
+  route.Timeout = 20s;
+  route.Attempts = 2;
+  route.Services = {{service, 1}};
+  Config.Routes.push_back(route);
+  return Config.Routes.back();
+}
+
+void GatewayWorld::answerRead(Gateway::Topic topic,
+                              Gateway::Store::ReadDone done) {
+  auto timer = std::make_shared<HttpIo::Timer>(Loop);
+  timer->expires_after(1ms);
+  timer->async_wait([this, timer, topic, done](const std::error_code &) {
+    if (!StoreAnswers)
+      return done(Utils::failure(Utils::Errc::Unavailable, "store: away"));
+    Gateway::TopicRead read;
+    if (topic == Gateway::Topic::Operators) {
+      ++ConfigReads;
+      read.Records.push_back({"config", "text"});
+    } else {
+      for (const Fleet::EndpointReport &it : Reports)
+        read.Records.push_back({it.Id, it.Id});
+    }
+    done(std::move(read));
+  });
+}
+
+Gateway::Store GatewayWorld::makeStore() {
+  Gateway::Store store;
+  store.ConfigurationKey = "config";
+  store.ReadAll = [this](auto topic, auto, auto done) {
+    answerRead(topic, std::move(done));
+  };
+  store.ReadFrom = [this](auto topic, auto, auto, auto, auto done) {
+    answerRead(topic, std::move(done));
+  };
+  store.DecodeConfiguration = [this](const std::string &) {
+    auto copy = std::make_shared<Fleet::Configuration>(Config);
+    copy->index();
+    return Utils::Outcome<Fleet::ConfigurationRef>(copy);
+  };
+  store.DecodeEndpoint = [this](const std::string &id, const std::string &) {
+    for (const Fleet::EndpointReport &it : Reports)
+      if (it.Id == id)
+        return Utils::Outcome<Fleet::EndpointReport>(it);
+    return Utils::Outcome<Fleet::EndpointReport>(
+        Utils::failure(Utils::Errc::NotFound, id));
+  };
+  return store;
+}
+
+void GatewayWorld::open() {
+  ++Config.Version;
+  Process = std::make_unique<Gateway::Process>(
+      Loop, Settings, Gateway::Outside{Platform::makeCallWire(), makeStore()});
+  REQUIRE(Process->start());
+}
+
+void GatewayWorld::start() {
+  open();
+  while (readiness().find(" 200 ") == std::string::npos)
+    Loop.run_one();
+}
+
+void GatewayWorld::publish() {
+  ++Config.Version;
+  uint64_t before = ConfigReads;
+  runUntil([&] { return ConfigReads >= before + 2; });
+}
+
+void GatewayWorld::retire(const std::string &id) {
+  for (Fleet::EndpointReport &it : Reports)
+    if (it.Id == id) {
+      it.State = Fleet::EndpointState::Draining;
+      ++it.Sequence;
+    }
+}
+
+std::string GatewayWorld::readiness() {
+  std::error_code ec;
+  RawCaller probe(Loop, HttpIo::parseEndpoint(Settings.ReadinessAddress, ec));
+  probe.send("GET /v1/readiness HTTP/1.1\r\nHost: h\r\n\r\n");
+  runUntil(
+      [&] { return probe.Received.find("\r\n\r\n") != std::string::npos; });
+  probe.leave();
+  Loop.poll();
+  return probe.Received;
+}
+
+RawCaller &GatewayWorld::connect() {
+  std::error_code ec;
+  Callers.emplace_back(Loop, HttpIo::parseEndpoint(Settings.CallerAddress, ec));
+  return Callers.back();
+}
+
+std::string GatewayWorld::requestText(const std::string &prefix,
+                                      const std::string &id,
+                                      const std::string &headers,
+                                      const std::string &method) {
+  return method + " " + prefix + "x HTTP/1.1\r\nHost: h\r\nRequest-Id: " + id +
+         "\r\n" + headers + "\r\n";
+}
+
+RawCaller &GatewayWorld::call(const std::string &prefix,
+                              const std::string &headers,
+                              const std::string &method) {
+  RawCaller &caller = connect();
+  std::string id = "q" + std::to_string(++NextId);
+  caller.send(requestText(prefix, id, headers, method));
+  return caller;
+}
+
+void GatewayWorld::runUntil(const std::function<bool()> &condition) {
+  auto limit = Utils::BootClock::now() + 60s;
+  while (!condition()) {
+    REQUIRE(Utils::BootClock::now() < limit);
+    Loop.run_one_for(100ms);
+  }
+}
+
+unsigned GatewayWorld::statusOf(RawCaller &caller) {
+  Http::ResponseParser parser;
+  runUntil([&] {
+    std::string input = caller.Received;
+    std::string body;
+    parser.reset();
+    return parser.feed(input, body) == Http::ResponseState::Complete ||
+           caller.Ended;
+  });
+  return caller.Received.empty() ? 0 : parser.head().Status;
+}
+
+std::string answer(unsigned status, const std::string &body,
+                   const std::string &headers) {
+  return "HTTP/1.1 " + std::to_string(status) +
+         " X\r\nRequest-Id: @ID@\r\nResponse-Seal: s\r\n" + headers +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
--- /dev/null
+++ b/tests/auto/gateway/gatewayworld.h
@@ -0,0 +1,117 @@
+#ifndef TESTS_GATEWAYWORLD_H
+#define TESTS_GATEWAYWORLD_H
+
+#include "gateway/gateway.h"
+
+#include <asio/io_context.hpp>
+#include <deque>
+#include <list>
+#include <memory>
+
+/// How a scripted endpoint treats one request.
+struct Script {
+  /// Sent as it is; @ID@ stands for the id of the request.
+  std::string Text;
+  enum class Then { Keep, Close, Reset } After = Then::Keep;
+};
+
+/// An endpoint on a loopback port that plays the next script of `scripts` for
+/// each request, stays silent when there is none, and keeps what it was sent.
+class ScriptedEndpoint {
+public:
+  ScriptedEndpoint(asio::io_context &loop, std::deque<Script> &scripts);
+
+  std::string address() const;
+  std::vector<Http::Request> Requests;
+  /// Connections that the gateway has ended.
+  int Ended = 0;
+  int Accepted = 0;
+
+private:
+  struct Peer;
+  void accept();
+  void read(const std::shared_ptr<Peer> &peer);
+  void play(const std::shared_ptr<Peer> &peer, const Http::Request &request);
+
+  asio::io_context &Loop;
+  std::deque<Script> &Scripts;
+  HttpIo::Tcp::acceptor Acceptor;
+};
+
+/// A caller that sends raw bytes and keeps what comes back.
+class RawCaller {
+public:
+  RawCaller(asio::io_context &loop, const HttpIo::Tcp::endpoint &peer);
+
+  void send(const std::string &text);
+  void leave() { Socket.close(); }
+  std::string Received;
+  bool Ended = false;
+
+private:
+  void read();
+
+  HttpIo::Tcp::socket Socket;
+  std::array<char, 4096> Buffer;
+};
+
+/// A gateway between scripted callers and endpoints, with a store that answers
+/// as the test sets it up. Only events are waited for.
+class GatewayWorld {
+public:
+  GatewayWorld();
+
+  /// Lists an endpoint of the service; it holds the models.
+  ScriptedEndpoint &addEndpoint(const std::string &service,
+                                std::vector<std::string> models = {});
+  Fleet::Route &addRoute(const std::string &prefix, const std::string &service,
+                         Fleet::RouteKind kind);
+  /// Starts the gateway.
+  void open();
+  /// Starts the gateway and waits until it is ready.
+  void start();
+  /// Publishes the configuration once more, as a newer version.
+  void publish();
+  /// Marks an endpoint as leaving, or no longer lists it.
+  void retire(const std::string &id);
+
+  RawCaller &call(const std::string &prefix, const std::string &headers = "",
+                  const std::string &method = "GET");
+  RawCaller &connect();
+  std::string requestText(const std::string &prefix, const std::string &id,
+                          const std::string &headers,
+                          const std::string &method);
+  /// Runs the loop until the condition holds; fails the test after a limit
+  /// that no run comes near.
+  void runUntil(const std::function<bool()> &condition);
+  /// The status of the caller's answer once it is complete or the connection
+  /// has ended; 0 for none.
+  unsigned statusOf(RawCaller &caller);
+  std::string readiness();
+
+  asio::io_context Loop{1};
+  Fleet::Configuration Config;
+  std::vector<Fleet::EndpointReport> Reports;
+  /// What the endpoints do with the next requests, whichever gets them.
+  std::deque<Script> Scripts;
+  bool StoreAnswers = true;
+  std::list<ScriptedEndpoint> Endpoints;
+  std::list<RawCaller> Callers;
+  std::unique_ptr<Gateway::Process> Process;
+
+private:
+  Gateway::Store makeStore();
+  void answerRead(Gateway::Topic topic, Gateway::Store::ReadDone done);
+  uint16_t freePort();
+
+  Gateway::GatewaySettings Settings;
+  uint64_t ConfigReads = 0;
+  std::list<std::shared_ptr<HttpIo::Timer>> Timers;
+  int NextId = 0;
+};
+
+/// A genuine answer of an endpoint.
+std::string answer(unsigned status, const std::string &body,
+                   const std::string &headers = "");
+
+#endif // TESTS_GATEWAYWORLD_H
--- /dev/null
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -0,0 +1,242 @@
+#include "gatewayworld.h"
+
+#include <doctest/doctest.h>
+
+using namespace std::chrono_literals;
+using Fleet::RouteKind;
+using Then = Script::Then;
+
+namespace {
+
+const std::string StreamHead =
+    "HTTP/1.1 200 OK\r\nRequest-Id: @ID@\r\nResponse-Seal: s\r\n"
+    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+std::string chunk(const std::string &data) {
+  std::string text;
+  Http::appendChunk(text, data);
+  return text;
+}
+
+std::string event(int id) {
+  return "id: " + std::to_string(id) + "\ndata: x\n\n";
+}
+
+/// A gateway before two endpoints of a service, with a route of each kind.
+struct Served : GatewayWorld {
+  Served() {
+    addRoute("/safe/", "s", RouteKind::Safe);
+    addRoute("/once/", "s", RouteKind::Unsafe);
+    addRoute("/stream/", "s", RouteKind::Streaming);
+    addRoute("/resume/", "s", RouteKind::Streaming).Resumable = true;
+    addEndpoint("s");
+    addEndpoint("s");
+    start();
+  }
+  ScriptedEndpoint &first() { return Endpoints.front(); }
+  ScriptedEndpoint &second() { return Endpoints.back(); }
+  void script(const Script &script) { Scripts = {script}; }
+  size_t arrivals() {
+    return first().Requests.size() + second().Requests.size();
+  }
+};
+
+} // namespace
+
+TEST_CASE("gateway that has read no configuration refuses without judging the "
+          "call, and is not ready") {
+  GatewayWorld world;
+  world.StoreAnswers = false;
+  world.open();
+  CHECK(world.readiness().find(" 503 ") != std::string::npos);
+  RawCaller &caller = world.call("/nowhere/");
+  CHECK(world.statusOf(caller) == 503);
+}
+
+TEST_CASE_FIXTURE(Served, "answer comes back with status, signature and body "
+                          "unchanged") {
+  script({answer(200, "hello", "X-Own: 1\r\n")});
+  RawCaller &caller = call("/safe/");
+  CHECK(statusOf(caller) == 200);
+  CHECK(caller.Received.find("Response-Seal: s") != std::string::npos);
+  CHECK(caller.Received.find("X-Own: 1") != std::string::npos);
+  CHECK(caller.Received.substr(caller.Received.size() - 5) == "hello");
+}
+
+TEST_CASE_FIXTURE(Served, "no route is 404, no endpoint is 503 with a time to "
+                          "come back") {
+  CHECK(statusOf(call("/other/")) == 404);
+  RawCaller &caller = call("/safe/", "Model: none\r\n");
+  CHECK(statusOf(caller) == 503);
+  CHECK(caller.Received.find("Retry-After: ") != std::string::npos);
+  CHECK(arrivals() == 0);
+}
+
+TEST_CASE_FIXTURE(Served, "safe call whose answer is cut short is sent to "
+                          "another endpoint") {
+  Scripts = {{"HTTP/1.1 200 OK\r\nResponse-Seal: s\r\nContent-Length: "
+              "9\r\n\r\nabc",
+              Then::Close},
+             {answer(200, "whole")}};
+  RawCaller &caller = call("/safe/");
+  CHECK(statusOf(caller) == 200);
+  CHECK(caller.Received.find("abc") == std::string::npos);
+  CHECK(arrivals() == 2);
+}
+
+TEST_CASE_FIXTURE(Served, "call that may run once is not sent again when its "
+                          "answer is lost, and is not said not to have run") {
+  script({"", Then::Reset});
+  CHECK(statusOf(call("/once/", "Content-Length: 0\r\n", "POST")) == 502);
+  CHECK(arrivals() == 1);
+}
+
+TEST_CASE_FIXTURE(Served, "call that an endpoint has not run goes to the "
+                          "other") {
+  Script full{"HTTP/1.1 503 Full\r\nRequest-Id: @ID@\r\nNot-Executed: "
+              "1\r\nContent-Length: 0\r\n\r\n"};
+  Scripts = {full, {answer(200, "ok")}};
+  CHECK(statusOf(call("/once/", "Content-Length: 0\r\n", "POST")) == 200);
+  CHECK(first().Requests.size() == 1);
+  CHECK(second().Requests.size() == 1);
+}
+
+TEST_CASE_FIXTURE(Served, "endpoint's 503 without its word that it has not run "
+                          "is no promise of ours") {
+  script({"HTTP/1.1 503 Busy\r\nRequest-Id: @ID@\r\nContent-Length: "
+          "0\r\n\r\n"});
+  CHECK(statusOf(call("/once/", "Content-Length: 0\r\n", "POST")) == 502);
+}
+
+TEST_CASE_FIXTURE(Served,
+                  "late answer to an earlier call is not taken for this "
+                  "one's") {
+  std::string late = "HTTP/1.1 200 OK\r\nRequest-Id: older\r\nResponse-Seal: "
+                     "s\r\nContent-Length: 3\r\n\r\nold";
+  script({late + answer(200, "mine")});
+  RawCaller &caller = call("/once/", "Content-Length: 0\r\n", "POST");
+  CHECK(statusOf(caller) == 200);
+  CHECK(caller.Received.find("old") == std::string::npos);
+  CHECK(caller.Received.find("mine") != std::string::npos);
+}
+
+TEST_CASE_FIXTURE(Served, "connection with bytes behind the answer serves no "
+                          "other call") {
+  Scripts = {{answer(200, "one") + "HTTP/1.1 200 OK\r\n"},
+             {answer(200, "two")}};
+  CHECK(statusOf(call("/safe/")) == 200);
+  CHECK(statusOf(call("/safe/")) == 200);
+  CHECK(first().Accepted + second().Accepted == 2);
+}
+
+TEST_CASE_FIXTURE(Served, "success without a signature is not passed on") {
+  script({"HTTP/1.1 200 OK\r\nRequest-Id: @ID@\r\nContent-Length: "
+          "2\r\n\r\nno"});
+  CHECK(statusOf(call("/once/", "Content-Length: 0\r\n", "POST")) == 502);
+}
+
+TEST_CASE_FIXTURE(Served, "endpoint's own failure is passed on with its "
+                          "signature where the call may not run again") {
+  script({answer(500, "oops")});
+  RawCaller &caller = call("/once/", "Content-Length: 0\r\n", "POST");
+  CHECK(statusOf(caller) == 500);
+  CHECK(caller.Received.find("Response-Seal: s") != std::string::npos);
+}
+
+TEST_CASE_FIXTURE(Served, "events are passed on as they come, each one whole") {
+  script({StreamHead + chunk(event(1) + "id: 2\nda")});
+  RawCaller &caller = call("/stream/");
+  runUntil([&] { return caller.Received.find(event(1)) != std::string::npos; });
+  CHECK(caller.Received.find("id: 2") == std::string::npos);
+}
+
+TEST_CASE_FIXTURE(Served, "stream that breaks off does not look complete") {
+  script({StreamHead + chunk(event(1)), Then::Close});
+  RawCaller &caller = call("/stream/");
+  runUntil([&] { return caller.Ended; });
+  CHECK(caller.Received.find(event(1)) != std::string::npos);
+  CHECK(caller.Received.find("0\r\n\r\n") == std::string::npos);
+  CHECK(arrivals() == 1);
+}
+
+TEST_CASE_FIXTURE(Served, "resumable stream goes on at another endpoint behind "
+                          "the last whole event") {
+  Script broken{StreamHead + chunk(event(1) + event(2) + "id: 3\nda"),
+                Then::Close};
+  Script rest{StreamHead + chunk(event(3)) + "0\r\n\r\n"};
+  Scripts = {broken, rest};
+  RawCaller &caller = call("/resume/");
+  CHECK(statusOf(caller) == 200);
+  CHECK(caller.Received.find("0\r\n\r\n") != std::string::npos);
+  REQUIRE(first().Requests.size() == 1);
+  REQUIRE(second().Requests.size() == 1);
+  const std::string *a = first().Requests[0].Headers.find("Last-Event-Id");
+  const std::string *b = second().Requests[0].Headers.find("Last-Event-Id");
+  CHECK((a ? a : b) != nullptr);
+  CHECK(*(a ? a : b) == "2");
+  std::string events;
+  std::string input = caller.Received;
+  Http::ResponseParser parser;
+  parser.feed(input, events);
+  CHECK(events == event(1) + event(2) + event(3));
+}
+
+TEST_CASE_FIXTURE(Served, "call of a caller that leaves is broken off at its "
+                          "endpoint") {
+  script({StreamHead + chunk(event(1))});
+  RawCaller &caller = call("/stream/");
+  runUntil([&] { return !caller.Received.empty(); });
+  caller.leave();
+  runUntil([&] { return first().Ended + second().Ended == 1; });
+}
+
+TEST_CASE_FIXTURE(Served, "call that is not answered within its route's time "
+                          "gets 504, and its endpoint is left") {
+  Config.Routes[1].Timeout = 50ms;
+  publish();
+  RawCaller &caller = call("/once/", "Content-Length: 0\r\n", "POST");
+  CHECK(statusOf(caller) == 504);
+  runUntil([&] { return first().Ended + second().Ended == 1; });
+}
+
+TEST_CASE_FIXTURE(Served, "endpoint that is leaving gets no call") {
+  retire("i-1");
+  size_t before = 0;
+  runUntil([&] {
+    script({answer(200, "ok")});
+    before = first().Requests.size();
+    CHECK(statusOf(call("/safe/")) == 200);
+    return second().Requests.size() > first().Requests.size() + 20;
+  });
+  for (int i = 0; i < 20; ++i) {
+    script({answer(200, "ok")});
+    CHECK(statusOf(call("/safe/")) == 200);
+  }
+  CHECK(first().Requests.size() == before);
+}
+
+TEST_CASE_FIXTURE(Served, "key names the team, and a withdrawn one is 401") {
+  Fleet::Team team;
+  team.Name = "kitchen";
+  team.Keys = {"k"};
+  Config.Teams = {team};
+  publish();
+  script({answer(200, "ok")});
+  CHECK(statusOf(call("/safe/", "Credential: k\r\n")) == 200);
+  CHECK(statusOf(call("/safe/", "Credential: other\r\n")) == 401);
+  Config.Teams[0].Keys = {"k2"};
+  publish();
+  CHECK(statusOf(call("/safe/", "Credential: k\r\n")) == 401);
+  CHECK(arrivals() == 1);
+}
+
+TEST_CASE_FIXTURE(Served,
+                  "leaving gateway is not ready, asks callers to go and "
+                  "still answers") {
+  Process->leave();
+  CHECK(readiness().find(" 503 ") != std::string::npos);
+  script({answer(200, "ok")});
+  RawCaller &caller = call("/safe/");
+  CHECK(statusOf(caller) == 200);
+  CHECK(caller.Received.find("Connection: close") != std::string::npos);
+}
--- /dev/null
+++ b/tests/auto/sitewire/tst_sitewire.cpp
@@ -0,0 +1,231 @@
+#include "platform/callheaders.h"
+#include "platform/keyedlog.h"
+#include "platform/operatorconfig.h"
+#include "platform/systemsettings.h"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+using namespace std::chrono_literals;
+using namespace Platform;
+using nlohmann::json;
+
+namespace {
+
+struct Calls {
+  Gateway::CallWire Wire = makeCallWire();
+  Http::Request Request;
+
+  Calls() {
+    Request.Method = "POST";
+    Request.Target = "/p/1";
+    Request.Headers.add("Request-Id", "r1");
+    Request.Headers.add("Credential", "secret");
+    Request.Headers.add("Model", "m/a3");
+    Request.Headers.add("Token-Counts", "1460,80");
+    Request.Headers.add("Prompt-Prefix", "5c:800,91:410");
+    Request.Headers.add("Deadline-Milliseconds", "5000");
+  }
+  Http::Request forwarded(const std::string &team) {
+    return Wire.Forward(Request, {"i-1", team, 1234ms, 3, ""});
+  }
+};
+
+json entry() {
+  return json::parse(R"({"service":"s","address":"10.0.0.9:80","zone":"z",
+    "version":"v1","slots":64,"state":"ready","cold_remaining_ms":0,"born":7,
+    "stage":"combined","models":[{"name":"m","version":1,"adapters":["a1"]}],
+    "available":{"in_memory":["m"],"on_disk":["m","n"]},"sequence":4})");
+}
+
+json configuration() {
+  return json::parse(R"({"version":7,"routes":[{"name":"r","host":"h",
+    "path_prefix":"/p/","kind":"streaming","timeout_ms":17000,
+    "target_latency_ms":3000,"priority":1,"service":"s","attempts":2,
+    "public":false,"resumable":true,"target_gap_ms":400},{"name":"q",
+    "host":"h","path_prefix":"/q/","kind":"unsafe","timeout_ms":800,
+    "traffic_split":[{"service":"s","weight":90},{"service":"t","weight":10}],
+    "public":true}],
+    "services":[{"name":"s","health_path":"/health","connection_limit":370,
+    "engine":{"slots":64,"models":[{"name":"m","weights_mb":72700.0,
+    "load_s":6.0,"adapters":24,"warm_s":0.4,"disk_load_s":1.2}],
+    "weights_mb":220000.0,"adapter_slots":8,"loads_per_s":3.5}}],
+    "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,
+    "header_timeout_ms":3000,"idle_timeout_ms":15000},
+    "tenants":[{"name":"t","access_keys":["k"],"unit":"tokens",
+    "uncached_tokens":200,"rate_per_s":75195,"burst":100}]})");
+}
+
+} // namespace
+
+TEST_CASE_FIXTURE(Calls, "caller's headers become the facts of the call") {
+  auto facts = Wire.Decode(Request);
+  REQUIRE(facts);
+  CHECK(facts->Id == "r1");
+  CHECK(facts->Model == "m");
+  CHECK(facts->Adapter == "a3");
+  CHECK(facts->Patience == 5000ms);
+  CHECK(facts->Tokens == std::pair(1460U, 80U));
+  REQUIRE(facts->Prompt.size() == 2);
+  CHECK(facts->Prompt[1].Id == "91");
+  CHECK(facts->Prompt[1].Tokens == 410);
+}
+
+TEST_CASE_FIXTURE(Calls, "header that cannot be read is an error that names "
+                         "it") {
+  for (const char *name :
+       {"Deadline-Milliseconds", "Token-Counts", "Prompt-Prefix"}) {
+    Http::Request request = Request;
+    request.Headers.erase(name);
+    request.Headers.add(name, "x");
+    auto facts = Wire.Decode(request);
+    REQUIRE_FALSE(facts);
+    CHECK(facts.error().What.find(name) != std::string::npos);
+  }
+  Request.Headers.erase("Request-Id");
+  CHECK_FALSE(Wire.Decode(Request));
+}
+
+TEST_CASE_FIXTURE(Calls, "endpoint sees the team and never the key") {
+  Request.Headers.add("Tenant", "forged");
+  Http::Request out = forwarded("kitchen");
+  CHECK(out.Headers.find("Credential") == nullptr);
+  CHECK(*out.Headers.find("Tenant") == "kitchen");
+  CHECK(*out.Headers.find("Expect-Instance") == "i-1");
+  CHECK(*out.Headers.find("Deadline-Milliseconds") == "1234");
+  CHECK(*out.Headers.find("Request-Priority") == "3");
+  CHECK(*out.Headers.find("Request-Id") == "r1");
+  CHECK(*out.Headers.find("Prompt-Prefix") == "5c:800,91:410");
+}
+
+TEST_CASE_FIXTURE(Calls, "what only the system may set is not taken from the "
+                         "caller") {
+  for (const char *name : {"Hold", "Pin-Milliseconds", "Cache-Backup",
+                           "Kv-From", "Kv-Fetch", "Tenant", "Expect-Instance"})
+    Request.Headers.add(name, "forged");
+  Http::Request out = forwarded("");
+  for (const Http::Field &it : out.Headers)
+    CHECK(it.Value != "forged");
+}
+
+TEST_CASE_FIXTURE(Calls, "only an endpoint's own word says that a call has not "
+                         "run") {
+  Http::ResponseHead head{503, "", {}};
+  CHECK_FALSE(Wire.Reply(head).NotRun);
+  head.Headers.add("Not-Executed", "1");
+  CHECK(Wire.Reply(head).NotRun);
+  CHECK(Wire.Reply({421, "", {}}).NotRun);
+}
+
+TEST_CASE_FIXTURE(Calls, "encoded body is not the endpoint's own") {
+  Http::ResponseHead head{200, "", {}};
+  CHECK_FALSE(Wire.Reply(head).Genuine);
+  head.Headers.add("Response-Seal", "1.2");
+  CHECK(Wire.Reply(head).Genuine);
+  head.Headers.add("Content-Encoding", "gzip");
+  CHECK_FALSE(Wire.Reply(head).Genuine);
+}
+
+TEST_CASE_FIXTURE(Calls, "refusal tells the time to come back in seconds") {
+  Http::ResponseHead head = Wire.Answer(503, "r1", 250ms);
+  CHECK(*head.Headers.find("Retry-After") == "0.250");
+  CHECK(*head.Headers.find("Request-Id") == "r1");
+}
+
+TEST_CASE("configuration is decoded with its routes, limits and models") {
+  auto config = decodeConfiguration(configuration().dump());
+  REQUIRE(config);
+  const Fleet::Configuration &it = **config;
+  CHECK(it.Version == 7);
+  const Fleet::Route *route = it.findRoute("h", "/p/x");
+  REQUIRE(route);
+  CHECK(route->Kind == Fleet::RouteKind::Streaming);
+  CHECK(route->Timeout == 17s);
+  CHECK(route->Resumable);
+  CHECK(route->Attempts == 2);
+  CHECK(it.findRoute("h", "/q/")->Services.size() == 2);
+  CHECK(it.findRoute("h", "/q/")->Public);
+  CHECK(it.findTeam("k")->CountsTokens);
+  const Fleet::Model *model = it.Services[0].ModelEngine->findModel("m");
+  REQUIRE(model);
+  CHECK(model->LoadFromStore == 6s);
+  CHECK(model->LoadFromDisk == 1200ms);
+  CHECK(model->LoadFromMemory == 400ms);
+}
+
+TEST_CASE("configuration without a needed member is an error that names it") {
+  json text = configuration();
+  text["routes"][0].erase("host");
+  auto config = decodeConfiguration(text.dump());
+  REQUIRE_FALSE(config);
+  CHECK(config.error().What.find("host") != std::string::npos);
+  CHECK_FALSE(decodeConfiguration("{"));
+}
+
+TEST_CASE("endpoint entry is decoded with what it holds") {
+  auto report = decodeEndpointEntry("i-1", entry().dump());
+  REQUIRE(report);
+  CHECK(report->Id == "i-1");
+  CHECK(report->StartedUnixMs == 7);
+  CHECK(report->Models[0].Adapters == std::vector<std::string>{"a1"});
+  CHECK(report->OnDisk.size() == 2);
+}
+
+TEST_CASE("entry of another writer names no endpoint") {
+  for (const char *member : {"service", "address", "state", "sequence"}) {
+    json forged = entry();
+    forged.erase(member);
+    CHECK_FALSE(decodeEndpointEntry("i-1", forged.dump()));
+    forged[member] = json::array();
+    CHECK_FALSE(decodeEndpointEntry("i-1", forged.dump()));
+  }
+  json odd = entry();
+  odd["state"] = "resting";
+  CHECK_FALSE(decodeEndpointEntry("i-1", odd.dump()));
+  CHECK_FALSE(decodeEndpointEntry("i-1", "\xff\xfe"));
+  CHECK_FALSE(decodeEndpointEntry("i-1", "[]"));
+}
+
+TEST_CASE("log page gives back the records that were encoded, and a cut one is "
+          "an error") {
+  std::string page = std::string(7, '\0') + char(9) + std::string(8, '\0');
+  page += encodeKeyedRecord("k", "value") + encodeKeyedRecord("dropped", "");
+  auto decoded = decodeLogPage(page);
+  REQUIRE(decoded);
+  CHECK(decoded->End == 9);
+  REQUIRE(decoded->Records.size() == 2);
+  CHECK(decoded->Records[0].Key == "k");
+  CHECK(decoded->Records[0].Value == "value");
+  CHECK_FALSE(decoded->Records[1].Value);
+  CHECK_FALSE(decodeLogPage(page.substr(0, page.size() - 1)));
+  CHECK_FALSE(decodeLogPage("short"));
+}
+
+TEST_CASE("newest records are decoded from base64") {
+  auto page = decodeNewestPage(
+      R"({"items":[{"key":"config","value":"YWI=","offset":4}],"more":false,
+      "end":6})");
+  REQUIRE(page);
+  CHECK(page->End == 6);
+  CHECK(page->Records[0].Value == "ab");
+  CHECK_FALSE(decodeNewestPage(R"({"items":[]})"));
+}
+
+TEST_CASE("settings file without a needed bound is an error that names it") {
+  json text = json::parse(R"({"node_name":"v","ip_address":"10.0.0.1",
+    "zone":"z","listen_addresses":{"front":"10.0.0.1:1","ready":"10.0.0.1:2"},
+    "internal_port_range":[7600,7615],"heartbeat_interval_ms":1200,
+    "limits":{"memory_mb":260},"platform":{"address":"10.0.0.2:3"},
+    "bounds":{"grace_s":8,"revoke_ms":5000,"drain_ms":2000,"lease_ms":3000,
+    "thaw_slack_ms":300,"retry_budget_ratio":0.2,"budget_window_s":10,
+    "retry_budget_slack":56,"quota_window_s":8,"quota_overshoot":0.1,
+    "quota_slack":110000,"ceiling_window_s":5,"ceiling_overshoot":1.1}})");
+  auto settings = decodeSettings(text.dump());
+  REQUIRE(settings);
+  CHECK(settings->StopGrace == 8s);
+  CHECK(settings->FirstInternalPort == 7600);
+  text["bounds"].erase("revoke_ms");
+  settings = decodeSettings(text.dump());
+  REQUIRE_FALSE(settings);
+  CHECK(settings.error().What.find("revoke_ms") != std::string::npos);
+}
