--- a/src/libs/gateway/call.cpp
+++ b/src/libs/gateway/call.cpp
@@ -12,6 +12,7 @@
   Unauthorized = 401,
   NotFound = 404,
   TooManyRequests = 429,
+  BadGateway = 502,
   Unavailable = 503,
   GatewayTimeout = 504,
 };
@@ -144,6 +145,23 @@
   event.info();
 }
 
+void Call::refuseWaiting() {
+  if (!Done)
+    endUnsent("leaving", LeaveComeBack);
+}
+
+/// Ends a call of which no send is under way.
+void Call::endUnsent(std::string_view reason,
+                     std::optional<Utils::Milliseconds> comeBack) {
+  if (AnswerBegun) {
+    Caller->abort();
+    return finish(reason, 0);
+  }
+  if (RunsBegun > 0)
+    return refuse(BadGateway, reason);
+  refuse(Unavailable, reason, comeBack);
+}
+
 void Call::onDeadline() {
   if (Done)
     return;
--- a/src/libs/gateway/call.h
+++ b/src/libs/gateway/call.h
@@ -17,6 +17,8 @@
   void start();
   /// Looks for an endpoint once more; false if the call waits no longer.
   bool keepWaiting();
+  /// Gives up waiting, since the gateway leaves.
+  void refuseWaiting();
   FleetLink::WaitingCalls waitingFor(Utils::TimePoint now) const;
   bool isDone() const { return Done; }
 
@@ -41,6 +43,8 @@
   void onEnd(HttpIo::ExchangeEnd end);
   void completeAnswer();
   void onSendFailed(Balance::SendEnd end);
+  void endUnsent(std::string_view reason,
+                 std::optional<Utils::Milliseconds> comeBack);
   void onDeadline();
   void onCallerGone();
   void endSend(Balance::SendEnd end);
--- a/src/libs/gateway/callsend.cpp
+++ b/src/libs/gateway/callsend.cpp
@@ -96,14 +96,14 @@
     return;
   if (needsModel())
     return wait();
-  refuse(Unavailable, "no_endpoint", DefaultComeBack);
+  endUnsent("no_endpoint", DefaultComeBack);
 }
 
 /// Returns whether the call has been sent or has ended.
 bool Call::tryDispatch() {
   SentAt = Utils::BootClock::now();
   if (Deadline - SentAt < LeastTimeToSend) {
-    refuse(Unavailable, "no_time");
+    endUnsent("no_time", std::nullopt);
     return true;
   }
   auto id = pickEndpoint();
--- a/src/libs/gateway/engineclient.h
+++ b/src/libs/gateway/engineclient.h
@@ -31,6 +31,7 @@
   int64_t Orders = 0;
   /// An order is under way.
   bool Busy = false;
+  /// Adapters on their way are listed with those that are there.
   std::vector<Fleet::ResidentModel> Models;
   std::vector<std::string> InMemory;
   std::vector<std::string> OnDisk;
--- a/src/libs/gateway/fleetholder.h
+++ b/src/libs/gateway/fleetholder.h
@@ -79,6 +79,7 @@
   const Fleet::Engine *engineOf(const std::string &service) const;
   std::vector<Residency::Need> needs() const;
   uint32_t storeLoadsLeft();
+  size_t storeLoadsUnderWay() const;
   void planSoon();
   void planNow();
   void begin(Residency::Task task);
@@ -98,7 +99,10 @@
   /// Revision at which the entry of an endpoint changed last.
   std::map<std::string, uint64_t> Revisions;
   uint64_t Revision = 0;
+  /// Beginnings of loads from the weight store.
   std::deque<Utils::TimePoint> StoreLoads;
+  /// Expected end of the newest load from the store, by endpoint.
+  std::map<std::string, Utils::TimePoint> StoreLoadEnds;
   HttpIo::Timer PlanTimer;
   bool PlanDue = false;
 };
--- a/src/libs/gateway/fleetmember.cpp
+++ b/src/libs/gateway/fleetmember.cpp
@@ -27,21 +27,23 @@
 } // namespace
 
 FleetMember::FleetMember(std::string name, std::string address,
-                         uint64_t incarnation)
+                         uint64_t incarnation, bool firstStart)
     : Name(std::move(name)), Address(std::move(address)),
-      Incarnation(incarnation) {}
+      Incarnation(incarnation), BeginFull(firstStart) {}
 
 void FleetMember::setLimits(const Fleet::Configuration &config,
                             double tolerance, TimePoint now) {
   std::map<std::string, Quota::Meter> meters;
   for (const Fleet::Team &team : config.Teams) {
+    Quota::Limit limit = limitOf(team, tolerance);
     auto it = Meters.find(team.Name);
-    auto added =
-        it == Meters.end()
-            ? meters.try_emplace(team.Name, limitOf(team, tolerance), now)
-            : meters.emplace(team.Name, it->second);
-    added.first->second.setLimit(limitOf(team, tolerance), now);
+    auto added = it == Meters.end()
+                     ? meters.try_emplace(team.Name, limit,
+                                          BeginFull ? limit.Burst : 0, now)
+                     : meters.emplace(team.Name, it->second);
+    added.first->second.setLimit(limit, now);
   }
+  BeginFull = true;
   Meters = std::move(meters);
 }
 
--- a/src/libs/gateway/fleetmember.h
+++ b/src/libs/gateway/fleetmember.h
@@ -27,8 +27,9 @@
 /// holder has told it. Does no input or output.
 class FleetMember {
 public:
-  explicit FleetMember(std::string name, std::string address,
-                       uint64_t incarnation);
+  /// `firstStart`: no calls can have been admitted before.
+  FleetMember(std::string name, std::string address, uint64_t incarnation,
+              bool firstStart);
 
   // Teams' limits.
 
@@ -84,6 +85,9 @@
   std::string Address;
   uint64_t Incarnation;
   uint64_t Sequence = 0;
+  /// Limits that come anew begin with a full bucket. Those of a process that
+  /// starts again begin empty: what was admitted before is not known.
+  bool BeginFull;
   std::map<std::string, Quota::Meter> Meters;
   std::map<CallKey, uint32_t> Calls;
   std::vector<FleetLink::Misplaced> Bounces;
--- a/src/libs/gateway/fleetpart.cpp
+++ b/src/libs/gateway/fleetpart.cpp
@@ -38,7 +38,7 @@
 
 FleetPart::FleetPart(Context context)
     : It(std::move(context)), Address(addressOf(It.Settings)),
-      Self(It.Settings.VmName, Address, randomNumber()),
+      Self(It.Settings.VmName, Address, randomNumber(), It.Settings.FirstStart),
       Duty(It.Loop, It.PlatformStore, It.Settings.VmName, Address),
       Link(It.Loop), ReportTimer(It.Loop) {
   Duty.OnChange = [this] { onDutyChange(); };
--- a/src/libs/gateway/gatewayconstants.h
+++ b/src/libs/gateway/gatewayconstants.h
@@ -35,8 +35,11 @@
 /// How long calls keep coming over open connections of a VM that leaves. The
 /// balancer stops sending new ones after two questions, one a second.
 constexpr milliseconds LeaveBalancer{2500};
-/// Kept off the time to the kill for the last answers.
-constexpr milliseconds StopMargin{700};
+/// Kept off the time to the kill for the end of the process.
+constexpr milliseconds StopMargin{300};
+/// Come-back time of calls that wait at a gateway that leaves; the retry
+/// reaches another one.
+constexpr milliseconds LeaveComeBack{20};
 
 /// How often calls that wait look for an endpoint. What they wait for takes
 /// 400 ms and more.
--- a/src/libs/gateway/gatewaysettings.h
+++ b/src/libs/gateway/gatewaysettings.h
@@ -24,6 +24,8 @@
   uint16_t FirstInternalPort = 0;
   /// IP:PORT of the platform's metadata store.
   std::string StoreAddress;
+  /// The whole fleet starts for the first time.
+  bool FirstStart = false;
   /// Memory that the process may use.
   uint32_t MemoryMb = 0;
 
--- a/src/libs/gateway/holderengines.cpp
+++ b/src/libs/gateway/holderengines.cpp
@@ -4,6 +4,7 @@
 #include "utils/utils.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Gateway {
 
@@ -157,6 +158,8 @@
   case Change::LoadModel:
     if (held && model)
       held->ReadyAt = now + Residency::loadTime(*model, order.From);
+    if (held && order.From == CopySource::Store)
+      StoreLoadEnds[id] = held->ReadyAt;
     Residency::noteCopies(place, *engine, order.Model);
     break;
   case Change::UnloadModel:
@@ -254,11 +257,19 @@
     for (const Fleet::Service &it : config->Services)
       if (it.ModelEngine)
         perSecond = std::max(perSecond, it.ModelEngine->StoreLoadsPerSecond);
-  double allowed =
-      perSecond * std::chrono::duration<double>(It.Settings.LoadWindow).count();
-  return allowed > double(StoreLoads.size())
-             ? uint32_t(allowed - double(StoreLoads.size()))
-             : 0;
+  double window = std::chrono::duration<double>(It.Settings.LoadWindow).count();
+  auto left = [](double allowed, size_t used) {
+    return allowed > double(used) ? uint32_t(allowed - double(used)) : 0;
+  };
+  // More at once than begin in a second would only slow each other down.
+  return std::min(left(perSecond * window, StoreLoads.size()),
+                  left(std::ceil(perSecond), storeLoadsUnderWay()));
+}
+
+size_t FleetHolder::storeLoadsUnderWay() const {
+  Utils::TimePoint now = Utils::BootClock::now();
+  return size_t(std::count_if(StoreLoadEnds.begin(), StoreLoadEnds.end(),
+                              [&](const auto &it) { return it.second > now; }));
 }
 
 void FleetHolder::planSoon() {
@@ -309,8 +320,10 @@
     case Change::LoadModel:
       place.Models.push_back({order.Model, now + OrderUnderWay, {}});
       place.Busy = true;
-      if (order.From == CopySource::Store)
+      if (order.From == CopySource::Store) {
         StoreLoads.push_back(now);
+        StoreLoadEnds[place.Id] = now + OrderUnderWay;
+      }
       break;
     case Change::UnloadModel:
       if (held)
--- a/src/libs/gateway/orderrunner.cpp
+++ b/src/libs/gateway/orderrunner.cpp
@@ -19,8 +19,8 @@
 /// Reports lag by 200 ms.
 constexpr uint32_t FailuresPerReport = 4;
 constexpr milliseconds ReportPause{50};
-/// Pause between reports of an engine that is busy with an order of others.
-constexpr milliseconds BusyPause{200};
+/// Pause between reports of an engine that is busy with an order.
+constexpr milliseconds BusyPause{150};
 /// Age of the newest order from which a report that counts fewer orders is
 /// believed: the engine has started anew.
 constexpr milliseconds ReportCatchUp{600};
@@ -119,8 +119,9 @@
     ++*Orders;
     return stepDone(order);
   case OrderReply::Holds:
-    // Whether it counts as accepted is told by the next report.
-    Orders.reset();
+    // An adapter is unloaded at once, which counts.
+    if (order.What == Change::UnloadAdapter)
+      ++*Orders;
     return stepDone(order);
   case OrderReply::OutOfStep:
   case OrderReply::Unknown:
@@ -189,8 +190,8 @@
   if (!stale)
     Orders = report->Orders;
   if (stale || report->Busy) {
-    WantsReport = Tasks.empty();
-    return nextAfter(WantsReport ? BusyPause : ReportPause);
+    WantsReport = true;
+    return nextAfter(BusyPause);
   }
   It->Reported(Id, *report);
   if (Tasks.empty())
--- a/src/libs/gateway/process.cpp
+++ b/src/libs/gateway/process.cpp
@@ -168,8 +168,12 @@
 
 void Process::finishLeaving() {
   Utils::TimePoint now = Utils::BootClock::now();
-  if (now >= CloseIdleAt)
+  if (now >= CloseIdleAt) {
+    // New callers would find too little time left for their answers.
+    Callers.stopAccepting();
     Callers.closeIdle();
+    State.Waiting.refuseAll();
+  }
   bool done = now >= CloseIdleAt && Callers.connections() == 0;
   if (done || now >= LeaveDeadline) {
     Utils::Event("stopped")
--- a/src/libs/gateway/waitingroom.cpp
+++ b/src/libs/gateway/waitingroom.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <map>
 #include <tuple>
+#include <utility>
 
 namespace Gateway {
 
@@ -26,6 +27,12 @@
       Calls.push_back(std::move(it));
 }
 
+void WaitingRoom::refuseAll() {
+  for (const std::weak_ptr<Call> &it : std::exchange(Calls, {}))
+    if (auto call = it.lock())
+      call->refuseWaiting();
+}
+
 void WaitingRoom::tick() {
   if (Ticking || Calls.empty())
     return;
--- a/src/libs/gateway/waitingroom.h
+++ b/src/libs/gateway/waitingroom.h
@@ -21,6 +21,8 @@
   void add(std::weak_ptr<Call> call);
   /// Lets every call look for an endpoint once more.
   void retry();
+  /// The gateway leaves: its callers had better ask another one.
+  void refuseAll();
   /// What the calls wait for.
   std::vector<FleetLink::WaitingCalls> summary() const;
   bool isEmpty() const { return Calls.empty(); }
--- a/src/libs/httpio/listener.cpp
+++ b/src/libs/httpio/listener.cpp
@@ -52,10 +52,9 @@
   Open.remove_if([](const CallerConnectionRef &it) { return !it->isOpen(); });
 }
 
-void Listener::stop() {
+void Listener::stopAccepting() {
   std::error_code ec; // Already closed is as good.
   Acceptor.close(ec);
-  SweepTimer.cancel();
 }
 
 } // namespace HttpIo
--- a/src/libs/httpio/listener.h
+++ b/src/libs/httpio/listener.h
@@ -19,7 +19,8 @@
   size_t connections() const { return Open.size(); }
   /// Closes all connections that wait for a request.
   void closeIdle();
-  void stop();
+  /// Connections that come from now on are refused.
+  void stopAccepting();
 
 private:
   void accept();
--- a/src/libs/quota/quota.cpp
+++ b/src/libs/quota/quota.cpp
@@ -53,9 +53,10 @@
   return Milliseconds(int64_t(std::ceil(missing * 1000 / Allowed.Rate)));
 }
 
-Meter::Meter(const Limit &limit, TimePoint now)
+Meter::Meter(const Limit &limit, double level, TimePoint now)
     : Fleet(limit, now), Own(limit, now), Share(1.0 / MembersAtStart) {
-  divide(limit.Burst, now);
+  Fleet.setLevel(level, now);
+  divide(Fleet.level(now), now);
 }
 
 void Meter::setLimit(const Limit &limit, TimePoint now) {
--- a/src/libs/quota/quota.h
+++ b/src/libs/quota/quota.h
@@ -63,7 +63,8 @@
   /// smallest sites have 7.
   static constexpr uint32_t MembersAtStart = 10;
 
-  Meter(const Limit &limit, TimePoint now);
+  /// `level`: of the team's bucket, as far as it can be known.
+  Meter(const Limit &limit, double level, TimePoint now);
   void setLimit(const Limit &limit, TimePoint now);
 
   /// Takes the tokens if the limit allows them; otherwise the time until it
--- a/src/libs/residency/plan.cpp
+++ b/src/libs/residency/plan.cpp
@@ -20,6 +20,8 @@
 constexpr double SpareReplicaWeight = 0.1;
 /// that the loss of one leaves no gap.
 constexpr double SpareReplicaRate = 2.0;
+/// Loads from the store that are left to models that calls wait for.
+constexpr uint32_t KeptForNeeds = 2;
 /// An adapter used within this time is not unloaded for another.
 constexpr Milliseconds AdapterInUse{1000};
 
@@ -99,7 +101,8 @@
     Option out;
     out.At = &place;
     out.From = sourceOf(place, model.Name);
-    if (out.From == CopySource::Store && StoreLoads == 0)
+    if (out.From == CopySource::Store &&
+        (StoreLoads == 0 || hasCopy({place.Service, model.Name})))
       return std::nullopt;
     out.Cost = std::max(1U, calls) * secondsOf(loadTime(model, out.From));
     double room = freeMb(place, engine);
@@ -121,6 +124,16 @@
     return out;
   }
 
+  /// Whether a usable engine has the weights, though it may be busy now: it is
+  /// free again before a load from the store would be done.
+  bool hasCopy(const ModelKey &key) const {
+    return std::any_of(It.All.begin(), It.All.end(), [&](const auto &it) {
+      const Place &place = it.second;
+      return place.Service == key.Service && place.Usable &&
+             sourceOf(place, key.Model) != CopySource::Store;
+    });
+  }
+
   static double secondsOf(Milliseconds time) {
     return std::chrono::duration<double>(time).count();
   }
@@ -244,7 +257,7 @@
     if (Planned.count(key) > 0)
       return 0;
     CopySource source = sourceOf(place, model.Name);
-    if (source == CopySource::Store && StoreLoads == 0)
+    if (source == CopySource::Store && StoreLoads <= KeptForNeeds)
       return 0;
     uint32_t others = holders(It.All, key);
     double rate = It.Use.rate(key, It.Now);
--- a/tests/auto/gateway/gatewayworld.cpp
+++ b/tests/auto/gateway/gatewayworld.cpp
@@ -43,11 +43,21 @@
     if (ec)
       return;
     ++Accepted;
-    read(std::make_shared<Peer>(std::move(socket)));
+    auto peer = std::make_shared<Peer>(std::move(socket));
+    Peers.push_back(peer);
+    read(peer);
     accept();
   });
 }
 
+void ScriptedEndpoint::resetAll() {
+  for (const std::weak_ptr<Peer> &it : Peers)
+    if (auto peer = it.lock(); peer && peer->Socket.is_open()) {
+      peer->Socket.set_option(asio::socket_base::linger(true, 0));
+      peer->Socket.close();
+    }
+}
+
 void ScriptedEndpoint::read(const std::shared_ptr<Peer> &peer) {
   peer->Socket.async_read_some(
       asio::buffer(peer->Buffer),
--- a/tests/auto/gateway/gatewayworld.h
+++ b/tests/auto/gateway/gatewayworld.h
@@ -24,12 +24,15 @@
 
   std::string address() const;
   std::vector<Http::Request> Requests;
+  /// Breaks all its connections.
+  void resetAll();
   /// Connections that the gateway has ended.
   int Ended = 0;
   int Accepted = 0;
 
 private:
   struct Peer;
+  std::vector<std::weak_ptr<Peer>> Peers;
   void accept();
   void read(const std::shared_ptr<Peer> &peer);
   void play(const std::shared_ptr<Peer> &peer, const Http::Request &request);
--- a/tests/auto/gateway/modelcalls.cpp
+++ b/tests/auto/gateway/modelcalls.cpp
@@ -74,6 +74,15 @@
   }
 }
 
+TEST_CASE_FIXTURE(OneEngine, "call that waits at a gateway that leaves is sent "
+                             "to another one") {
+  engine().Busy = true; // Takes no order.
+  RawCaller &caller = callModel("m2");
+  Process->leave();
+  CHECK(statusOf(caller) == 503);
+  CHECK(caller.Received.find("Retry-After: 0.020") != std::string::npos);
+}
+
 TEST_CASE_FIXTURE(OneEngine, "waiting call whose caller leaves is forgotten") {
   engine().Busy = true; // Takes no order.
   RawCaller &caller = callModel("m2");
--- a/tests/auto/gateway/tst_gateway.cpp
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -181,6 +181,19 @@
   CHECK(events == event(1) + event(2) + event(3));
 }
 
+TEST_CASE_FIXTURE(Served, "broken stream that no other endpoint can take on "
+                          "ends without further bytes") {
+  retire("i-2");
+  script({StreamHead + chunk(event(1))});
+  RawCaller &caller = call("/resume/");
+  runUntil([&] { return !caller.Received.empty(); });
+  size_t before = caller.Received.size();
+  retire("i-1");
+  Endpoints.front().resetAll();
+  runUntil([&] { return caller.Ended; });
+  CHECK(caller.Received.size() == before);
+}
+
 TEST_CASE_FIXTURE(Served, "call of a caller that leaves is broken off at its "
                           "endpoint") {
   script({StreamHead + chunk(event(1))});
--- a/tests/auto/history/tst_snapshotduty.cpp
+++ b/tests/auto/history/tst_snapshotduty.cpp
@@ -130,14 +130,13 @@
                   "with nothing begins from it") {
   constexpr int retain = 80;
   constexpr int edits = 100;
-  constexpr int editsAtOnce = 10;
   All.importTable(basicTable(Cluster::hashOf(Key)));
   All.control("log", {{"retain", retain}});
   start({0, 1});
   for (int i = 0; i < edits; ++i) {
     edit("late-" + std::to_string(i));
-    if (i % editsAtOnce != 0)
-      continue;
+    // Leases are renewed while a busy machine holds the writer up, so that
+    // edits must not run ahead of it.
     REQUIRE(eventually([&] {
       LogContent content = log();
       const Written *newest = content.newestWhole();
--- a/tests/auto/quota/tst_quota.cpp
+++ b/tests/auto/quota/tst_quota.cpp
@@ -26,7 +26,8 @@
   double Admitted = 0;
 
   explicit Gateways(size_t n = 8)
-      : Meters(n, Meter(Allowed, Now)), Counted(n), Reachable(n, true) {}
+      : Meters(n, Meter(Allowed, Allowed.Burst, Now)), Counted(n),
+        Reachable(n, true) {}
 
   void beat() {
     for (size_t i = 0; i < Meters.size(); ++i) {
@@ -130,7 +131,7 @@
 TEST_CASE("lower limit holds at once, and what is over it is refused with the "
           "time to come back") {
   TimePoint now{1h};
-  Meter meter({1000, 2000, 0}, now);
+  Meter meter({1000, 2000, 0}, 2000, now);
   meter.hear({2000, 0, 0, 8}, now);
   meter.setLimit({100, 200, 0}, now);
   CHECK_FALSE(meter.refusal(200, now));
@@ -141,7 +142,7 @@
 
 TEST_CASE("call larger than the burst is admitted when the bucket is full") {
   TimePoint now{1h};
-  Meter meter({100, 200, 0}, now);
+  Meter meter({100, 200, 0}, 200, now);
   meter.hear({200, 0, 0, 8}, now);
   CHECK_FALSE(meter.refusal(1000, now));
   CHECK(meter.refusal(1, now));
@@ -149,7 +150,7 @@
 
 TEST_CASE("tokens of a call that did not run are there again") {
   TimePoint now{1h};
-  Meter meter({100, 200, 0}, now);
+  Meter meter({100, 200, 0}, 200, now);
   meter.hear({200, 0, 0, 8}, now);
   CHECK_FALSE(meter.refusal(200, now));
   CHECK(meter.refusal(200, now));
@@ -160,14 +161,27 @@
 
 TEST_CASE("team without a limit is never refused") {
   TimePoint now{1h};
-  Meter meter({0, 0, 0}, now);
+  Meter meter({0, 0, 0}, 0, now);
   for (int i = 0; i < 100; ++i)
     CHECK_FALSE(meter.refusal(1e6, now));
 }
 
+TEST_CASE_FIXTURE(Gateways, "gateways that are all killed in the middle of a "
+                            "window stay within the limit with what they gave "
+                            "before") {
+  run(4s, std::vector<double>(8, 1000));
+  // Nobody knows any longer what was given; the new holder neither.
+  Meters.assign(8, Meter(Allowed, 0, Now));
+  Counted.assign(8, 0);
+  Level.setLevel(0, Now);
+  run(8s, std::vector<double>(8, 1000));
+  CHECK(mostInWindow(EightSeconds) <=
+        (8 * Allowed.Rate + Allowed.Burst) * 1.1 + 2000);
+}
+
 TEST_CASE("gateway that has just started gives no more than its likely share") {
   TimePoint now{1h};
-  Meter meter({1000, 2000, 0}, now);
+  Meter meter({1000, 2000, 0}, 2000, now);
   double admitted = 0;
   for (int i = 0; i < 100; ++i)
     admitted += meter.refusal(20, now) ? 0 : 20;
--- a/tests/auto/sitewire/tst_sitewire.cpp
+++ b/tests/auto/sitewire/tst_sitewire.cpp
@@ -1,4 +1,5 @@
 #include "platform/callheaders.h"
+#include "platform/engineclient.h"
 #include "platform/keyedlog.h"
 #include "platform/operatorconfig.h"
 #include "platform/systemsettings.h"
@@ -186,6 +187,37 @@
   CHECK_FALSE(decodeEndpointEntry("i-1", "[]"));
 }
 
+TEST_CASE("adapters on their way count among those that an engine holds") {
+  auto report = decodeEngineReport(
+      R"({"stage":"combined","models":[{"name":"m","version":1,
+      "adapters":["a1"]}],"busy":false,"sequence":2,"waiting":1,"running":12,
+      "incoming":["m/a2@1","m/a1@1"],
+      "available":{"in_memory":[],"on_disk":["m"]}})");
+  REQUIRE(report);
+  CHECK(report->Orders == 2);
+  REQUIRE(report->Models.size() == 1);
+  CHECK(report->Models[0].Adapters == std::vector<std::string>{"a1", "a2"});
+  CHECK_FALSE(decodeEngineReport(R"({"models":[]})"));
+}
+
+TEST_CASE("order names the fence, the orders before it and the adapter") {
+  Residency::Order order{Residency::Change::LoadAdapter, "m", "a3", {}};
+  json body = json::parse(encodeOrder(order, {"vm", 41, 2}));
+  CHECK(body == json::parse(R"({"operation":"load","model":"m","adapter":"a3",
+    "holder":"vm","fencing_token":41,"precondition":2})"));
+  order = {Residency::Change::UnloadModel, "m", "", {}};
+  body = json::parse(encodeOrder(order, {"vm", 41, 2}));
+  CHECK(body["operation"] == "unload");
+  CHECK_FALSE(body.contains("adapter"));
+}
+
+TEST_CASE("engine's status that says nothing of the order leaves it unknown") {
+  CHECK(orderReplyOf(202) == Gateway::OrderReply::Accepted);
+  CHECK(orderReplyOf(412) == Gateway::OrderReply::Fenced);
+  CHECK(orderReplyOf(500) == Gateway::OrderReply::Unknown);
+  CHECK(orderReplyOf(503) == Gateway::OrderReply::Unknown);
+}
+
 TEST_CASE("log page gives back the records that were encoded, and a cut one is "
           "an error") {
   std::string page = std::string(7, '\0') + char(9) + std::string(8, '\0');
@@ -215,6 +247,7 @@
   json text = json::parse(R"({"node_name":"v","ip_address":"10.0.0.1",
     "zone":"z","listen_addresses":{"front":"10.0.0.1:1","ready":"10.0.0.1:2"},
     "internal_port_range":[7600,7615],"heartbeat_interval_ms":1200,
+    "bootstrap":false,
     "limits":{"memory_mb":260},"platform":{"address":"10.0.0.2:3"},
     "bounds":{"grace_s":8,"revoke_ms":5000,"drain_ms":2000,"lease_ms":3000,
     "thaw_slack_ms":300,"retry_budget_ratio":0.2,"budget_window_s":10,
