Let the holder of the fleet's duty read the store for all gateways

Change: beats carry the endpoints that changed, how far the operators' topic has been read and how old that is; a gateway reads by itself when beats stop for a second or what was read is older than 1.5 s. Adapters are not announced before the engine has taken their order, and a model whose engine loads for long gets another replica for its adapters.

Ruled out: longer waits of each gateway's own reads; a connection that went silent would be noticed too late for the bound on configuration.

--- a/src/libs/fleet/endpoints.cpp
+++ b/src/libs/fleet/endpoints.cpp
@@ -61,15 +61,6 @@
   return true;
 }
 
-void EndpointTable::retain(const std::vector<std::string> &ids, TimePoint now) {
-  std::vector<std::string> gone;
-  for (const auto &[id, endpoint] : Known)
-    if (std::find(ids.begin(), ids.end(), id) == ids.end())
-      gone.push_back(id);
-  for (const std::string &id : gone)
-    remove(id, now);
-}
-
 const Endpoint *EndpointTable::find(const std::string &id) const {
   auto it = Known.find(id);
   return it == Known.end() ? nullptr : &it->second;
--- a/src/libs/fleet/endpoints.h
+++ b/src/libs/fleet/endpoints.h
@@ -60,8 +60,6 @@
   bool update(EndpointReport report, TimePoint now);
   /// The platform no longer lists the endpoint. Returns whether it was known.
   bool remove(const std::string &id, TimePoint now);
-  /// Replaces the whole list by that of a full read.
-  void retain(const std::vector<std::string> &ids, TimePoint now);
 
   const Endpoint *find(const std::string &id) const;
   const std::map<std::string, Endpoint> &all() const { return Known; }
--- a/src/libs/fleetlink/fleetlink.cpp
+++ b/src/libs/fleetlink/fleetlink.cpp
@@ -34,12 +34,14 @@
   archive(it.Name, it.ReadyInMs, it.Adapters);
 }
 template <class Archive> void serialize(Archive &archive, EndpointEntry &it) {
-  archive(it.Endpoint, it.Models);
+  archive(it.Endpoint, it.Gone, it.Draining, it.Service, it.Address,
+          it.FailureDomain, it.Slots, it.StartedUnixMs, it.Sequence, it.Models);
 }
 template <class Archive> void serialize(Archive &archive, Beat &it) {
   archive(it.Holder, it.Address, it.Token, it.RecordEnd, it.RecordAgeMs,
           it.Released, it.Members, it.Incarnation, it.Sequence, it.Teams,
-          it.TableRevision, it.Entries, it.Loads);
+          it.OperatorsNext, it.OperatorsAgeMs, it.EndpointsAgeMs,
+          it.TableRevision, it.Whole, it.Entries, it.Loads);
 }
 
 namespace {
--- a/src/libs/fleetlink/fleetlink.h
+++ b/src/libs/fleetlink/fleetlink.h
@@ -101,9 +101,21 @@
   std::vector<AdapterEntry> Adapters;
 };
 
-/// What an endpoint holds or is about to hold.
+/// An endpoint as the holder knows it.
 struct EndpointEntry {
   std::string Endpoint;
+  /// It is not listed any more; nothing else is said.
+  bool Gone = false;
+  bool Draining = false;
+  std::string Service;
+  /// IP:PORT.
+  std::string Address;
+  std::string FailureDomain;
+  uint32_t Slots = 0;
+  /// Start of the endpoint and count of its own reports, which tell old news.
+  int64_t StartedUnixMs = 0;
+  int64_t Sequence = 0;
+  /// What an engine holds or is about to hold.
   std::vector<ModelEntry> Models;
 };
 
@@ -121,8 +133,16 @@
   uint64_t Incarnation = 0;
   uint64_t Sequence = 0;
   std::vector<TeamTotal> Teams;
-  /// Entries that changed since the revision of that report.
+  /// Offset up to which the holder has read the operators' topic, and how long
+  /// ago that was all.
+  uint64_t OperatorsNext = 0;
+  uint32_t OperatorsAgeMs = 0;
+  /// How long ago the entries were all that the store lists.
+  uint32_t EndpointsAgeMs = 0;
+  /// Entries that changed since the revision of that report, up to this one.
   uint64_t TableRevision = 0;
+  /// The entries are the whole table.
+  bool Whole = false;
   std::vector<EndpointEntry> Entries;
   std::vector<EndpointCalls> Loads;
 };
--- a/src/libs/gateway/fleetholder.cpp
+++ b/src/libs/gateway/fleetholder.cpp
@@ -21,6 +21,10 @@
 /// levels that it took over.
 constexpr milliseconds TakeOver{1500};
 
+/// Entries of one datagram: about 150 bytes each, and 60 of them with long
+/// lists of adapters stay below its limit.
+constexpr size_t EntriesPerBeat = 100;
+
 uint32_t msUntil(Utils::TimePoint at, Utils::TimePoint now) {
   if (at <= now)
     return 0;
@@ -40,7 +44,7 @@
     if (auto it = Buckets.find(team); it != Buckets.end())
       it->second.Level.setLevel(level, StartedAt);
   for (const auto &[id, endpoint] : It.Known.endpoints().all())
-    adoptEndpoint(endpoint);
+    onEndpoint(id);
 }
 
 FleetHolder::~FleetHolder() {
@@ -48,6 +52,13 @@
     runner->stop();
 }
 
+void FleetHolder::tellAll() {
+  Utils::TimePoint now = Utils::BootClock::now();
+  for (const auto &[name, member] : Members)
+    if (now < member.HeardAt + MemberLifetime)
+      answer(member);
+}
+
 void FleetHolder::onConfiguration() {
   Utils::TimePoint now = Utils::BootClock::now();
   const auto &config = It.Known.configuration();
@@ -58,6 +69,7 @@
     auto added = Buckets.try_emplace(team.Name, TeamBucket{{limit, now}, 0});
     added.first->second.Level.setLimit(limit, now);
   }
+  tellAll();
 }
 
 // Gateways.
@@ -180,22 +192,65 @@
 
 namespace {
 
-FleetLink::EndpointEntry entryOf(const Residency::Place &place,
-                                 Utils::TimePoint now) {
-  FleetLink::EndpointEntry out{place.Id, {}};
+void addModels(FleetLink::EndpointEntry &entry, const Residency::Place &place,
+               Utils::TimePoint now) {
   for (const Residency::HeldModel &model : place.Models) {
     if (model.isLeaving())
       continue;
-    FleetLink::ModelEntry entry{model.Name, msUntil(model.ReadyAt, now), {}};
+    FleetLink::ModelEntry out{model.Name, msUntil(model.ReadyAt, now), {}};
     for (const Residency::HeldAdapter &it : model.Adapters)
-      entry.Adapters.push_back({it.Name, msUntil(it.ReadyAt, now)});
-    out.Models.push_back(std::move(entry));
+      if (it.ReadyAt != Residency::Leaving)
+        out.Adapters.push_back({it.Name, msUntil(it.ReadyAt, now)});
+    entry.Models.push_back(std::move(out));
   }
-  return out;
+}
+
+uint32_t ageOf(Utils::TimePoint at, Utils::TimePoint now) {
+  constexpr int64_t ages = 3600'000;
+  return uint32_t(std::clamp<int64_t>(Utils::msBetween(at, now), 0, ages));
 }
 
 } // namespace
 
+FleetLink::EndpointEntry FleetHolder::entryOf(const std::string &id) const {
+  FleetLink::EndpointEntry out;
+  out.Endpoint = id;
+  const Fleet::Endpoint *endpoint = It.Known.endpoints().find(id);
+  out.Gone = endpoint == nullptr;
+  if (!endpoint)
+    return out;
+  const Fleet::EndpointReport &report = endpoint->Report;
+  out.Draining = report.State == Fleet::EndpointState::Draining;
+  out.Service = report.Service;
+  out.Address = report.Address;
+  out.FailureDomain = report.FailureDomain;
+  out.Slots = report.Slots;
+  out.StartedUnixMs = report.StartedUnixMs;
+  out.Sequence = report.Sequence;
+  if (auto place = Places.find(id); place != Places.end())
+    addModels(out, place->second, Utils::BootClock::now());
+  return out;
+}
+
+/// Adds the oldest changes that the gateway has not seen, as many as one
+/// datagram holds; the others follow with the next beat.
+void FleetHolder::addEntries(FleetLink::Beat &beat, uint64_t seen) const {
+  std::vector<std::pair<uint64_t, const std::string *>> due;
+  for (const auto &[id, revision] : Revisions)
+    if (revision > seen)
+      due.emplace_back(revision, &id);
+  std::sort(due.begin(), due.end());
+  beat.TableRevision = Revision;
+  beat.Whole = seen == 0 && due.size() <= EntriesPerBeat;
+  for (const auto &[revision, id] : due) {
+    if (beat.Entries.size() == EntriesPerBeat)
+      return;
+    beat.Entries.push_back(entryOf(*id));
+    if (due.size() > EntriesPerBeat)
+      beat.TableRevision = revision;
+  }
+}
+
 FleetLink::Beat FleetHolder::makeBeat(const Member &member) {
   Utils::TimePoint now = Utils::BootClock::now();
   const FleetLink::Report &report = member.Newest;
@@ -209,12 +264,11 @@
     if (auto bucket = Buckets.find(it.Team); bucket != Buckets.end())
       out.Teams.push_back({it.Team, int64_t(bucket->second.Level.level(now)),
                            bucket->second.Fleet, it.Tokens});
-  out.TableRevision = Revision;
-  uint64_t seen = report.Token == Token ? report.TableRevision : 0;
-  for (const auto &[id, revision] : Revisions)
-    if (revision > seen)
-      if (auto place = Places.find(id); place != Places.end())
-        out.Entries.push_back(entryOf(place->second, now));
+  ReadFacts read = It.HasRead();
+  out.OperatorsNext = read.OperatorsNext;
+  out.OperatorsAgeMs = ageOf(read.OperatorsAsOf, now);
+  out.EndpointsAgeMs = ageOf(read.EndpointsAsOf, now);
+  addEntries(out, report.Token == Token ? report.TableRevision : 0);
   out.Loads = fleetLoads();
   return out;
 }
--- a/src/libs/gateway/fleetholder.h
+++ b/src/libs/gateway/fleetholder.h
@@ -14,6 +14,13 @@
 
 namespace Gateway {
 
+/// How far the holder has read the store.
+struct ReadFacts {
+  uint64_t OperatorsNext = 0;
+  Utils::TimePoint OperatorsAsOf{};
+  Utils::TimePoint EndpointsAsOf{};
+};
+
 /// What the holder of the fleet's duty does: adds up what the gateways report,
 /// keeps the teams' buckets, decides which models and adapters the engines
 /// hold, and tells the gateways. Lives as long as this VM holds the duty.
@@ -27,6 +34,7 @@
     /// Whether the lease lasts.
     std::function<bool()> Leased;
     std::function<void()> Fenced;
+    std::function<ReadFacts()> HasRead;
     std::function<void(const std::string &address, const FleetLink::Beat &)>
         Send;
   };
@@ -61,7 +69,10 @@
   void countTokens(const Member &before, const FleetLink::Report &report);
   void answer(const Member &member);
   void tellWaiting();
+  void tellAll();
   FleetLink::Beat makeBeat(const Member &member);
+  void addEntries(FleetLink::Beat &beat, uint64_t seen) const;
+  FleetLink::EndpointEntry entryOf(const std::string &id) const;
   std::vector<FleetLink::EndpointCalls> fleetLoads() const;
   bool mayAct() const;
   bool storeIsAway() const;
@@ -96,8 +107,11 @@
   Residency::Places Places;
   std::map<std::string, std::shared_ptr<OrderRunner>> Runners;
   std::shared_ptr<OrderRunner::Context> RunnerContext;
-  /// Revision at which the entry of an endpoint changed last.
+  /// Revision at which the entry of an endpoint changed last, also of those
+  /// that are gone.
   std::map<std::string, uint64_t> Revisions;
+  /// What the entries of endpoints say beside their models.
+  std::map<std::string, std::string> Listed;
   uint64_t Revision = 0;
   /// Beginnings of loads from the weight store.
   std::deque<Utils::TimePoint> StoreLoads;
--- a/src/libs/gateway/fleetmember.cpp
+++ b/src/libs/gateway/fleetmember.cpp
@@ -111,11 +111,11 @@
   return out;
 }
 
-void FleetMember::take(const FleetLink::Beat &beat, TimePoint now) {
+bool FleetMember::take(const FleetLink::Beat &beat, TimePoint now) {
   if (beat.Token < Token || beat.Incarnation != Incarnation)
-    return;
+    return false;
   if (beat.Token == Token && beat.Sequence < HeardSequence)
-    return;
+    return false;
   if (beat.Token > Token) {
     Table.clear();
     TableRevision = 0;
@@ -135,11 +135,18 @@
     uint32_t mine = own == OwnLoads.end() ? 0 : own->second;
     OtherLoads[it.Endpoint] = it.Calls > mine ? it.Calls - mine : 0;
   }
+  return true;
 }
 
 void FleetMember::takeTable(const FleetLink::Beat &beat, TimePoint now) {
   TableRevision = std::max(TableRevision, beat.TableRevision);
+  if (beat.Whole)
+    Table.clear();
   for (const FleetLink::EndpointEntry &entry : beat.Entries) {
+    if (entry.Gone) {
+      Table.erase(entry.Endpoint);
+      continue;
+    }
     auto &held = Table[entry.Endpoint];
     held.clear();
     for (const FleetLink::ModelEntry &model : entry.Models) {
--- a/src/libs/gateway/fleetmember.h
+++ b/src/libs/gateway/fleetmember.h
@@ -58,8 +58,8 @@
   FleetLink::Report makeReport(const Balance::EndpointBoard &board,
                                const Fleet::EndpointTable &endpoints,
                                TimePoint now);
-  /// Takes a beat in unless it is of an earlier holder or late.
-  void take(const FleetLink::Beat &beat, TimePoint now);
+  /// Takes a beat in; false if it is of an earlier holder or late.
+  bool take(const FleetLink::Beat &beat, TimePoint now);
 
   // What is known of the fleet.
 
--- a/src/libs/gateway/fleetpart.cpp
+++ b/src/libs/gateway/fleetpart.cpp
@@ -21,6 +21,8 @@
 /// Shortest time between two reports.
 constexpr milliseconds LeastInterval{10};
 
+/// Reports that a beat may still answer; older ones say nothing of its age.
+constexpr size_t ReportsRemembered = 32;
 /// Part of the operators' slack on limits that calls may use up; the rest is
 /// for what gateways admit before they hear of each other.
 constexpr double ToleratedSlack = 0.25;
@@ -89,6 +91,9 @@
   if (!Holder && (!record || record->Released || record->Address == Address))
     return;
   FleetLink::Report out = Self.makeReport(It.Board, It.Known.endpoints(), now);
+  Asked[out.Sequence] = now;
+  if (Asked.size() > ReportsRemembered)
+    Asked.erase(Asked.begin());
   out.Waiting = It.Waiting();
   out.Leaving = Leaving;
   out.StoreSilentMs = uint32_t(std::clamp<int64_t>(
@@ -113,10 +118,12 @@
   Utils::TimePoint now = Utils::BootClock::now();
   if (beat.Token >= Self.token())
     FormerAddress = beat.Address;
-  Self.take(beat, now);
   Duty.hear({beat.Holder, beat.Address, beat.Token, beat.Released},
             beat.RecordEnd, milliseconds(beat.RecordAgeMs));
-  It.Told();
+  auto asked = Asked.find(beat.Sequence);
+  if (!Self.take(beat, now) || asked == Asked.end())
+    return;
+  It.Told(beat, asked->second);
 }
 
 void FleetPart::onDutyChange() {
@@ -131,10 +138,12 @@
       It.Engines,
       [this] { return Duty.holds(); },
       [this] { Duty.noteFenced(); },
+      It.HasRead,
       [this](const auto &address, const auto &beat) { send(address, beat); }};
   Holder =
       std::make_unique<FleetHolder>(std::move(context), Duty.watch().HeldToken,
                                     Self.levels(Utils::BootClock::now()));
+  It.TookDuty();
   if (!FormerAddress.empty() && FormerAddress != Address)
     Holder->announce(FormerAddress);
 }
--- a/src/libs/gateway/fleetpart.h
+++ b/src/libs/gateway/fleetpart.h
@@ -24,8 +24,11 @@
     std::function<std::vector<FleetLink::WaitingCalls>()> Waiting;
     /// When the store answered last.
     std::function<Utils::TimePoint()> StoreAnsweredAt;
-    /// The holder has told something.
-    std::function<void()> Told;
+    /// This VM is the holder now.
+    std::function<void()> TookDuty;
+    std::function<ReadFacts()> HasRead;
+    /// The holder has told what it has read; ages count from `askedAt`.
+    std::function<void(const FleetLink::Beat &, Utils::TimePoint askedAt)> Told;
   };
 
   explicit FleetPart(Context context);
@@ -56,6 +59,8 @@
   HttpIo::Timer ReportTimer;
   Utils::TimePoint ReportAt{};
   Utils::TimePoint ReportedAt{};
+  /// When the newest reports were sent, by sequence.
+  std::map<uint64_t, Utils::TimePoint> Asked;
   /// Where the newest holder was heard of.
   std::string FormerAddress;
   bool Leaving = false;
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -44,6 +44,9 @@
   std::mt19937_64 Random;
   /// When the store answered last.
   std::function<Utils::TimePoint()> StoreAnsweredAt;
+  std::function<void()> TookDuty;
+  std::function<ReadFacts()> HasRead;
+  std::function<void(const FleetLink::Beat &, Utils::TimePoint)> Told;
   /// Keys are known to be valid until then.
   Utils::TimePoint KeysTrustedUntil{};
 
@@ -64,6 +67,8 @@
   Utils::Status listen();
   void onCallerRequest(const HttpIo::CallerConnectionRef &, Http::Request);
   void onReadinessRequest(const HttpIo::CallerConnectionRef &caller);
+  void onTold(const FleetLink::Beat &beat, Utils::TimePoint askedAt);
+  void takeEntries(const FleetLink::Beat &beat);
   void applyLimits();
   void keepHouse();
   void awaitSignals();
--- a/src/libs/gateway/gatewayconstants.h
+++ b/src/libs/gateway/gatewayconstants.h
@@ -14,6 +14,12 @@
 /// within 2 s of their notice; every report would end a waiting read, so these
 /// reads do not wait.
 constexpr milliseconds EndpointPause{700};
+/// Age from which what the holder of the fleet's duty has read is not relied
+/// on: a waiting read and a slow answer.
+constexpr milliseconds HearsayAge{1500};
+/// Time from a report to a gateway's own reading of the store when no further
+/// report is answered: three reports of a large fleet.
+constexpr milliseconds HearsayLimit{1000};
 /// An answer of the store takes 4 ms, 300 ms when it is slow.
 constexpr milliseconds StoreAnswerLimit{700};
 /// Pause after a failed call to the store, doubled up to the second figure so
--- a/src/libs/gateway/holderengines.cpp
+++ b/src/libs/gateway/holderengines.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace Gateway {
 
@@ -23,7 +24,8 @@
 /// Kept behind an order until an endpoint's entry is believed again: the entry
 /// may be one interval and one read old.
 constexpr milliseconds EntryLag{2500};
-/// Placeholder for what is ordered and not answered yet.
+/// How long a load from the store counts as under way before the engine has
+/// taken its order.
 constexpr milliseconds OrderUnderWay{1500};
 /// Shortest time between two plans; a burst of reports makes one.
 constexpr milliseconds PlanPause{250};
@@ -95,9 +97,22 @@
     run->askReport();
 }
 
+namespace {
+
+/// What an endpoint's entry says beside its models.
+std::string listingOf(const Fleet::EndpointReport &report) {
+  bool draining = report.State == Fleet::EndpointState::Draining;
+  return report.Service + ' ' + report.Address + ' ' +
+         std::to_string(report.StartedUnixMs) + (draining ? " draining" : "");
+}
+
+} // namespace
+
 void FleetHolder::onEndpoint(const std::string &id) {
-  const Fleet::Endpoint *endpoint = It.Known.endpoints().find(id);
-  if (endpoint) {
+  if (const Fleet::Endpoint *endpoint = It.Known.endpoints().find(id)) {
+    std::string listing = listingOf(endpoint->Report);
+    if (std::exchange(Listed[id], listing) != listing)
+      changed(id);
     adoptEndpoint(*endpoint);
     return;
   }
@@ -106,7 +121,8 @@
     Runners.erase(it);
   }
   Places.erase(id);
-  Revisions.erase(id);
+  Listed.erase(id);
+  changed(id);
 }
 
 /// Takes over what the engine says that it holds.
@@ -215,9 +231,17 @@
   Utils::TimePoint now = Utils::BootClock::now();
   it->second.Busy = false;
   // What was to change and did not is as it was.
+  auto undo = [now](auto &list) {
+    std::erase_if(list, [](const auto &held) {
+      return held.ReadyAt == Residency::Ordered;
+    });
+    for (auto &held : list)
+      if (held.ReadyAt == Residency::Leaving)
+        held.ReadyAt = now;
+  };
+  undo(it->second.Models);
   for (HeldModel &model : it->second.Models)
-    if (model.isLeaving())
-      model.ReadyAt = now;
+    undo(model.Adapters);
   changed(id);
   planSoon();
 }
@@ -318,7 +342,7 @@
         .info();
     switch (order.What) {
     case Change::LoadModel:
-      place.Models.push_back({order.Model, now + OrderUnderWay, {}});
+      place.Models.push_back({order.Model, Residency::Ordered, {}});
       place.Busy = true;
       if (order.From == CopySource::Store) {
         StoreLoads.push_back(now);
@@ -327,15 +351,15 @@
       break;
     case Change::UnloadModel:
       if (held)
-        held->ReadyAt = TimePoint::max();
+        held->ReadyAt = Residency::Leaving;
       break;
     case Change::LoadAdapter:
       if (held)
-        held->Adapters.push_back({order.Adapter, now + OrderUnderWay, now});
+        held->Adapters.push_back({order.Adapter, Residency::Ordered, now});
       break;
     case Change::UnloadAdapter:
       if (auto *adapter = held ? held->findAdapter(order.Adapter) : nullptr)
-        adapter->ReadyAt = now + OrderUnderWay;
+        adapter->ReadyAt = Residency::Leaving;
       break;
     }
   }
--- a/src/libs/gateway/process.cpp
+++ b/src/libs/gateway/process.cpp
@@ -25,7 +25,9 @@
       Connections(loop), Known(Wire.PlatformStore), Waiting(loop),
       Part({loop, Settings, Known, Board, Wire.PlatformStore, Wire.Engines,
             [this] { return Waiting.summary(); },
-            [this] { return StoreAnsweredAt(); }, [this] { Waiting.retry(); }}),
+            [this] { return StoreAnsweredAt(); }, [this] { TookDuty(); },
+            [this] { return HasRead(); },
+            [this](const auto &beat, auto asOf) { Told(beat, asOf); }}),
       Random(std::random_device{}()) {
   Waiting.OnAdded = [this] { Part.reportSoon(); };
 }
@@ -58,6 +60,17 @@
   State.StoreAnsweredAt = [this] {
     return std::max(Configurations.completeUntil(), Endpoints.completeUntil());
   };
+  State.TookDuty = [this] {
+    Configurations.resume();
+    Endpoints.resume();
+  };
+  State.HasRead = [this] {
+    return ReadFacts{Configurations.next(), Configurations.completeUntil(),
+                     Endpoints.completeUntil()};
+  };
+  State.Told = [this](const auto &beat, auto askedAt) {
+    onTold(beat, askedAt);
+  };
   State.Known.OnConfiguration = [this] {
     applyLimits();
     State.Part.onConfiguration();
@@ -118,6 +131,56 @@
   CallerPolicy->IdleTimeout = limits.IdleTimeout;
 }
 
+namespace {
+
+Fleet::EndpointReport reportOf(const FleetLink::EndpointEntry &entry) {
+  Fleet::EndpointReport out;
+  out.Id = entry.Endpoint;
+  out.Service = entry.Service;
+  out.Address = entry.Address;
+  out.FailureDomain = entry.FailureDomain;
+  out.State = entry.Draining ? Fleet::EndpointState::Draining
+                             : Fleet::EndpointState::Ready;
+  out.Slots = entry.Slots;
+  out.StartedUnixMs = entry.StartedUnixMs;
+  out.Sequence = entry.Sequence;
+  for (const FleetLink::ModelEntry &model : entry.Models) {
+    Fleet::ResidentModel held{model.Name, 0, {}};
+    for (const FleetLink::AdapterEntry &it : model.Adapters)
+      held.Adapters.push_back(it.Name);
+    if (model.ReadyInMs == 0)
+      out.Models.push_back(std::move(held));
+  }
+  return out;
+}
+
+} // namespace
+
+void Process::onTold(const FleetLink::Beat &beat, Utils::TimePoint askedAt) {
+  if (!State.Part.isHolder()) {
+    takeEntries(beat);
+    Configurations.hear(beat.OperatorsNext,
+                        askedAt - milliseconds(beat.OperatorsAgeMs), askedAt);
+    Endpoints.hearAll(askedAt - milliseconds(beat.EndpointsAgeMs), askedAt);
+  }
+  State.Waiting.retry();
+}
+
+void Process::takeEntries(const FleetLink::Beat &beat) {
+  Utils::TimePoint now = Utils::BootClock::now();
+  std::vector<std::string> ids;
+  for (const FleetLink::EndpointEntry &it : beat.Entries) {
+    if (it.Gone) {
+      State.Known.removeEndpoint(it.Endpoint, now);
+      continue;
+    }
+    ids.push_back(it.Endpoint);
+    State.Known.takeReport(reportOf(it), now);
+  }
+  if (beat.Whole)
+    State.Known.retainEndpoints(ids, now);
+}
+
 bool Process::isReady() const {
   return !Leaving && State.Known.configuration() != nullptr &&
          Endpoints.hasRead();
--- a/src/libs/gateway/topicfeed.cpp
+++ b/src/libs/gateway/topicfeed.cpp
@@ -23,6 +23,9 @@
 void TopicFeed::start() { read(); }
 
 void TopicFeed::read() {
+  if (Reading)
+    return;
+  Reading = true;
   Utils::TimePoint now = Utils::BootClock::now();
   bool whole = !Complete;
   auto done = [this, now, whole](const Utils::Outcome<TopicRead> &result) {
@@ -36,6 +39,7 @@
 
 void TopicFeed::onRead(const Utils::Outcome<TopicRead> &result,
                        Utils::TimePoint sentAt, bool whole) {
+  Reading = false;
   if (!result)
     return onFailure(result.error());
   if (Failures > 0)
@@ -45,7 +49,7 @@
         .info();
   Failures = 0;
   Complete = true;
-  CompleteUntil = sentAt;
+  CompleteUntil = std::max(CompleteUntil, sentAt);
   Next = result->Next;
   if (whole || !result->Records.empty())
     OnRecords(result->Records, whole);
@@ -68,11 +72,47 @@
 }
 
 void TopicFeed::readAfter(Utils::Milliseconds pause) {
-  Pause.expires_after(pause);
+  readAt(std::max(Utils::BootClock::now() + pause, NotBefore));
+}
+
+void TopicFeed::readAt(Utils::TimePoint at) {
+  Pause.expires_at(at);
   Pause.async_wait([this](const std::error_code &ec) {
     if (!ec)
       read();
   });
 }
 
+void TopicFeed::postpone(Utils::TimePoint asOf, Utils::TimePoint askedAt) {
+  CompleteUntil = std::max(CompleteUntil, asOf);
+  NotBefore = std::max(NotBefore, askedAt + HearsayLimit);
+  if (!Reading)
+    readAt(NotBefore);
+}
+
+void TopicFeed::hear(uint64_t next, Utils::TimePoint asOf,
+                     Utils::TimePoint askedAt) {
+  if (!Complete || asOf + HearsayAge < askedAt)
+    return;
+  if (Next >= next)
+    return postpone(asOf, askedAt);
+  // The next beat says whether there is more.
+  NotBefore = askedAt + HearsayLimit;
+  read();
+}
+
+void TopicFeed::resume() {
+  NotBefore = {};
+  if (!Reading)
+    readAt(Utils::BootClock::now());
+}
+
+void TopicFeed::hearAll(Utils::TimePoint asOf, Utils::TimePoint askedAt) {
+  if (asOf + HearsayAge < askedAt)
+    return;
+  Complete = false;
+  Heard = true;
+  postpone(asOf, askedAt);
+}
+
 } // namespace Gateway
--- a/src/libs/gateway/topicfeed.h
+++ b/src/libs/gateway/topicfeed.h
@@ -27,10 +27,20 @@
   TopicFeed(asio::io_context &loop, const Store &store, Plan plan, Take take);
 
   void start();
+  /// The holder of the fleet's duty, asked at `askedAt`, had read the topic up
+  /// to `next`, which was all at `asOf`: reads at once what is new, and nothing
+  /// else for a while.
+  void hear(uint64_t next, Utils::TimePoint asOf, Utils::TimePoint askedAt);
+  /// The holder has told all that the topic held at `asOf`: reads nothing for a
+  /// while, and all of it afterwards.
+  void hearAll(Utils::TimePoint asOf, Utils::TimePoint askedAt);
+  /// Reads by itself from now on.
+  void resume();
+  uint64_t next() const { return Next; }
   /// What was taken is complete up to this point; the epoch before the first
   /// read.
   Utils::TimePoint completeUntil() const { return CompleteUntil; }
-  bool hasRead() const { return Complete; }
+  bool hasRead() const { return Complete || Heard; }
 
 private:
   void read();
@@ -38,6 +48,8 @@
               bool whole);
   void onFailure(const Utils::Failure &failure);
   void readAfter(Utils::Milliseconds pause);
+  void readAt(Utils::TimePoint at);
+  void postpone(Utils::TimePoint asOf, Utils::TimePoint askedAt);
 
   const Store &Source;
   Plan Steps;
@@ -46,7 +58,11 @@
   std::minstd_rand Random;
   uint64_t Next = 0;
   bool Complete = false;
+  bool Heard = false;
   uint32_t Failures = 0;
+  bool Reading = false;
+  /// A read ended or failed by now is followed by none before then.
+  Utils::TimePoint NotBefore{};
   Utils::TimePoint CompleteUntil{};
 };
 
--- a/src/libs/gateway/view.cpp
+++ b/src/libs/gateway/view.cpp
@@ -2,6 +2,8 @@
 
 #include "utils/utils.h"
 
+#include <algorithm>
+
 namespace Gateway {
 
 namespace {
@@ -63,21 +65,33 @@
     for (const TopicRecord &it : records)
       if (it.Value)
         ids.push_back(it.Key);
-    Endpoints.retain(ids, now);
+    retainEndpoints(ids, now);
   }
   for (const TopicRecord &it : records)
     takeEndpoint(it, now);
 }
 
-void View::takeEndpoint(const TopicRecord &record, Utils::TimePoint now) {
-  if (!record.Value) {
-    if (!Endpoints.remove(record.Key, now))
-      return;
-    Utils::Event("endpoint_gone").with("endpoint", record.Key).info();
-    if (OnEndpoint)
-      OnEndpoint(record.Key);
+void View::retainEndpoints(const std::vector<std::string> &ids,
+                           Utils::TimePoint now) {
+  std::vector<std::string> gone;
+  for (const auto &[id, endpoint] : Endpoints.all())
+    if (std::find(ids.begin(), ids.end(), id) == ids.end())
+      gone.push_back(id);
+  for (const std::string &id : gone)
+    removeEndpoint(id, now);
+}
+
+void View::removeEndpoint(const std::string &id, Utils::TimePoint now) {
+  if (!Endpoints.remove(id, now))
     return;
-  }
+  Utils::Event("endpoint_gone").with("endpoint", id).info();
+  if (OnEndpoint)
+    OnEndpoint(id);
+}
+
+void View::takeEndpoint(const TopicRecord &record, Utils::TimePoint now) {
+  if (!record.Value)
+    return removeEndpoint(record.Key, now);
   auto decoded = Source.DecodeEndpoint(record.Key, *record.Value);
   if (!decoded) {
     Utils::Event("endpoint_entry_unreadable")
@@ -86,20 +100,25 @@
         .warning();
     return;
   }
-  const Fleet::Endpoint *before = Endpoints.find(record.Key);
+  takeReport(std::move(decoded.value()), now);
+}
+
+void View::takeReport(Fleet::EndpointReport report, Utils::TimePoint now) {
+  std::string id = report.Id;
+  const Fleet::Endpoint *before = Endpoints.find(id);
   bool known = before != nullptr;
   auto oldState = known ? before->Report.State : Fleet::EndpointState::Ready;
-  Fleet::EndpointState newState = decoded->State;
-  if (!Endpoints.update(std::move(decoded.value()), now))
+  Fleet::EndpointState newState = report.State;
+  if (!Endpoints.update(std::move(report), now))
     return;
   if (!known || oldState != newState)
     Utils::Event("endpoint_changed")
-        .with("endpoint", record.Key)
+        .with("endpoint", id)
         .with("state",
               newState == Fleet::EndpointState::Ready ? "ready" : "draining")
         .info();
   if (OnEndpoint)
-    OnEndpoint(record.Key);
+    OnEndpoint(id);
 }
 
 } // namespace Gateway
--- a/src/libs/gateway/view.h
+++ b/src/libs/gateway/view.h
@@ -17,6 +17,13 @@
   void takeEndpoints(const std::vector<TopicRecord> &records, bool whole,
                      Utils::TimePoint now);
 
+  /// Takes what another gateway has read of an endpoint.
+  void takeReport(Fleet::EndpointReport report, Utils::TimePoint now);
+  void removeEndpoint(const std::string &id, Utils::TimePoint now);
+  /// Forgets all endpoints but these.
+  void retainEndpoints(const std::vector<std::string> &ids,
+                       Utils::TimePoint now);
+
   /// Null before the first configuration.
   const Fleet::ConfigurationRef &configuration() const { return Current; }
   const Fleet::EndpointTable &endpoints() const { return Endpoints; }
--- a/src/libs/residency/places.h
+++ b/src/libs/residency/places.h
@@ -11,6 +11,11 @@
 
 namespace Residency {
 
+/// In place of a point from which on calls can use something: it is being
+/// unloaded, or it is to be loaded and the engine has not taken the order yet.
+inline constexpr TimePoint Leaving = TimePoint::max();
+inline constexpr TimePoint Ordered = TimePoint::max() - std::chrono::hours(1);
+
 struct HeldAdapter {
   std::string Name;
   /// Calls can use it from then on.
@@ -20,13 +25,13 @@
 
 struct HeldModel {
   std::string Name;
-  /// Calls can use it from then on; max() while it is being unloaded.
+  /// Calls can use it from then on.
   TimePoint ReadyAt{};
   std::vector<HeldAdapter> Adapters;
 
   HeldAdapter *findAdapter(const std::string &name);
   const HeldAdapter *findAdapter(const std::string &name) const;
-  bool isLeaving() const { return ReadyAt == TimePoint::max(); }
+  bool isLeaving() const { return ReadyAt == Leaving; }
 };
 
 /// A model engine's replica and what it holds, as the holder of the duty knows
--- a/src/libs/residency/plan.cpp
+++ b/src/libs/residency/plan.cpp
@@ -20,6 +20,11 @@
 constexpr double SpareReplicaWeight = 0.1;
 /// that the loss of one leaves no gap.
 constexpr double SpareReplicaRate = 2.0;
+/// Wait for a busy engine from which another replica of a model is loaded for
+/// its adapters: longer than a load from disk.
+constexpr Milliseconds LongWait{1500};
+/// Part of a model's calls that need an adapter which may not be there.
+constexpr double AdapterPart = 0.2;
 /// Loads from the store that are left to models that calls wait for.
 constexpr uint32_t KeptForNeeds = 2;
 /// An adapter used within this time is not unloaded for another.
@@ -104,7 +109,8 @@
     if (out.From == CopySource::Store &&
         (StoreLoads == 0 || hasCopy({place.Service, model.Name})))
       return std::nullopt;
-    out.Cost = std::max(1U, calls) * secondsOf(loadTime(model, out.From));
+    double seconds = secondsOf(loadTime(model, out.From));
+    out.Cost = std::max(1U, calls) * seconds + blocked(place, engine, seconds);
     double room = freeMb(place, engine);
     std::vector<std::pair<double, const HeldModel *>> victims;
     for (const HeldModel &it : place.Models)
@@ -124,6 +130,19 @@
     return out;
   }
 
+  /// Seconds of waiting for calls of adapters, which the engine does not load
+  /// while it loads a model.
+  double blocked(const Place &place, const Fleet::Engine &engine,
+                 double seconds) const {
+    double rate = 0;
+    for (const HeldModel &it : place.Models) {
+      const Fleet::Model *model = engine.findModel(it.Name);
+      if (model && model->Adapters > 0)
+        rate += It.Use.rate({place.Service, it.Name}, It.Now);
+    }
+    return rate * AdapterPart * seconds * seconds / 2;
+  }
+
   /// Whether a usable engine has the weights, though it may be busy now: it is
   /// free again before a load from the store would be done.
   bool hasCopy(const ModelKey &key) const {
@@ -182,10 +201,26 @@
       if (!best || adapterRank(place, engine) < adapterRank(*best, engine))
         best = &place;
     }
+    if (!best || freeAt(*best) > It.Now + LongWait) {
+      // Another replica is there sooner than the end of a long load.
+      const Fleet::Model *model = engine.findModel(need.Key.Model);
+      auto option = bestOption(need.Key, engine, *model, need.Calls);
+      if (option && option->From != CopySource::Store)
+        return take(need.Key, *option);
+    }
     if (best)
       loadAdapter(*best, need, engine);
   }
 
+  /// When the load that keeps the place busy is done; the epoch if none does.
+  TimePoint freeAt(const Place &place) const {
+    TimePoint at{};
+    for (const HeldModel &it : place.Models)
+      if (!it.isLeaving())
+        at = std::max(at, it.ReadyAt);
+    return at;
+  }
+
   /// The lower, the sooner a place takes one more adapter.
   std::tuple<bool, bool, uint32_t>
   adapterRank(const Place &place, const Fleet::Engine &engine) const {
