--- a/src/libs/balance/endpointboard.cpp
+++ b/src/libs/balance/endpointboard.cpp
@@ -28,6 +28,12 @@
 
 } // namespace
 
+std::string_view sendEndName(SendEnd end) {
+  static constexpr std::string_view names[] = {
+      "answered", "refused", "failed", "broken", "silent", "withdrawn"};
+  return names[static_cast<size_t>(end)];
+}
+
 void EndpointBoard::sent(const std::string &id) { ++Healths[id].InFlight; }
 
 void EndpointBoard::answering(const std::string &id, double firstByteMs) {
--- a/src/libs/balance/endpointboard.h
+++ b/src/libs/balance/endpointboard.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 
 namespace Balance {
@@ -21,6 +22,8 @@
   Withdrawn, ///< The caller left or another attempt won; says nothing.
 };
 
+std::string_view sendEndName(SendEnd end);
+
 /// What this VM has seen of one endpoint.
 struct EndpointHealth {
   /// Calls of this VM that are under way there.
--- a/src/libs/balance/recovery.cpp
+++ b/src/libs/balance/recovery.cpp
@@ -17,6 +17,12 @@
 
 } // namespace
 
+std::string_view nextStepName(NextStep step) {
+  static constexpr std::string_view names[] = {"send_again", "resume", "refuse",
+                                               "fail", "break"};
+  return names[static_cast<size_t>(step)];
+}
+
 NextStep afterFailure(const Progress &progress) {
   if (progress.AnswerBegun) {
     bool resumes = progress.Kind == RouteKind::Streaming &&
--- a/src/libs/balance/recovery.h
+++ b/src/libs/balance/recovery.h
@@ -4,6 +4,7 @@
 #include "fleet/fleet.h"
 
 #include <cstdint>
+#include <string_view>
 
 namespace Balance {
 
@@ -30,6 +31,8 @@
   Break,     ///< End the answer so that it is seen to be incomplete.
 };
 
+std::string_view nextStepName(NextStep step);
+
 NextStep afterFailure(const Progress &progress);
 
 } // namespace Balance
--- a/src/libs/balance/retrybudget.cpp
+++ b/src/libs/balance/retrybudget.cpp
@@ -5,22 +5,24 @@
 namespace Balance {
 
 RetryBudget::RetryBudget(Policy policy)
-    : Limits(policy), Tokens(policy.Slack) {}
+    : Limits(policy), Tokens(policy.MostAtHand) {}
 
 void RetryBudget::refill(Utils::TimePoint now) {
-  // The slack comes back over a window, so that no window sees more than
-  // twice of it.
-  if (RefilledAt != Utils::TimePoint{}) {
-    double part = std::chrono::duration<double>(now - RefilledAt) /
-                  std::chrono::duration<double>(Limits.Window);
-    Tokens = std::min(Limits.Slack, Tokens + Limits.Slack * part);
-  }
+  double part = 0;
+  if (RefilledAt != Utils::TimePoint{})
+    part = std::chrono::duration<double>(now - RefilledAt) /
+           std::chrono::duration<double>(Limits.Window);
   RefilledAt = now;
+  add(Limits.Slack * part);
+}
+
+void RetryBudget::add(double repeats) {
+  Tokens = std::min(Limits.MostAtHand, Tokens + repeats);
 }
 
 void RetryBudget::firstSend(Utils::TimePoint now) {
   refill(now);
-  Tokens = std::min(Limits.Slack, Tokens + Limits.Ratio);
+  add(Limits.Ratio);
 }
 
 bool RetryBudget::takeRepeat(Utils::TimePoint now) {
--- a/src/libs/balance/retrybudget.h
+++ b/src/libs/balance/retrybudget.h
@@ -15,7 +15,9 @@
   struct Policy {
     /// Repeats earned by a first send.
     double Ratio = 0.1;
-    /// Repeats that this VM may make beyond what it earned, in one window.
+    /// Most repeats that may be saved up.
+    double MostAtHand = 1;
+    /// Repeats that this VM gets beyond what it earns, in one window.
     double Slack = 1;
     Utils::Milliseconds Window{10000};
   };
@@ -29,6 +31,7 @@
 
 private:
   void refill(Utils::TimePoint now);
+  void add(double repeats);
 
   Policy Limits;
   double Tokens;
--- a/src/libs/duty/duty.cpp
+++ b/src/libs/duty/duty.cpp
@@ -12,10 +12,21 @@
   return watch.RenewedBy + policy.Lease;
 }
 
-/// Whether the newest record still keeps others from claiming.
-bool isLeased(const Watch &watch, const Policy &policy, TimePoint now) {
+/// Nobody holds the duty.
+bool isFree(const Watch &watch) {
+  return !watch.Newest || watch.Newest->Released;
+}
+
+/// An earlier process of this VM holds it, which is dead.
+bool isOwnFormer(const Watch &watch) {
   return watch.Newest && !watch.Newest->Released &&
-         now < leaseEnd(watch, policy);
+         watch.Newest->Holder == watch.Self;
+}
+
+/// From when this VM may claim the duty.
+TimePoint claimFrom(const Watch &watch, const Policy &policy) {
+  return (isFree(watch) ? watch.RenewedBy : leaseEnd(watch, policy)) +
+         watch.ClaimDelay;
 }
 
 bool isHolderSilent(const Watch &watch, const Policy &policy, TimePoint now) {
@@ -25,45 +36,55 @@
 Step holderStep(const Watch &watch, const Policy &policy, TimePoint now) {
   if (!watch.Known)
     return Step::Read;
-  if (watch.GivingUp)
+  if (watch.GivingUp || watch.HandingOver)
     return Step::Release;
   return now >= watch.RenewedBy + policy.RenewEvery ? Step::Renew : Step::Wait;
 }
 
 } // namespace
 
-Step nextStep(const Watch &watch, const Policy &policy, TimePoint now) {
-  if (watch.Calling || now < watch.NextCallAt)
-    return Step::Wait;
-  if (isHolder(watch))
-    return holderStep(watch, policy, now);
+namespace {
+
+Step seekerStep(const Watch &watch, const Policy &policy, TimePoint now) {
   if (watch.GivingUp)
     return Step::Wait;
   if (!watch.Known)
     return Step::Read;
-  // An earlier process of this VM is dead.
-  bool free = !watch.Newest || watch.Newest->Released ||
-              watch.Newest->Holder == watch.Self;
-  if (free)
+  if (isOwnFormer(watch))
     return Step::Claim;
-  if (!isLeased(watch, policy, now)) // Perhaps it was renewed unheard.
-    return watch.ReadAt < leaseEnd(watch, policy) ? Step::Read : Step::Claim;
-  return isHolderSilent(watch, policy, now) ? Step::Read : Step::Wait;
+  if (now < claimFrom(watch, policy))
+    return isHolderSilent(watch, policy, now) && !isFree(watch) ? Step::Read
+                                                                : Step::Wait;
+  // Perhaps it was renewed or claimed unheard.
+  bool news = watch.ReadAt < claimFrom(watch, policy) - watch.ClaimDelay;
+  return news ? Step::Read : Step::Claim;
+}
+
+} // namespace
+
+Step nextStep(const Watch &watch, const Policy &policy, TimePoint now) {
+  if (watch.Calling)
+    return Step::Wait;
+  Step step = isHolder(watch) ? holderStep(watch, policy, now)
+                              : seekerStep(watch, policy, now);
+  TimePoint from = step == Step::Read ? watch.NextReadAt : watch.NextAppendAt;
+  return now < from ? Step::Wait : step;
 }
 
 TimePoint nextStepAt(const Watch &watch, const Policy &policy) {
   if (watch.Calling)
     return TimePoint::max();
   if (isHolder(watch))
-    return std::max(watch.NextCallAt, watch.RenewedBy + policy.RenewEvery);
-  return std::max(
-      watch.NextCallAt,
-      std::min(watch.HeardAt + policy.HolderSilence, leaseEnd(watch, policy)));
+    return std::max(watch.NextAppendAt, watch.RenewedBy + policy.RenewEvery);
+  TimePoint next =
+      std::min(watch.HeardAt + policy.HolderSilence, claimFrom(watch, policy));
+  return std::max(next, std::min(watch.NextReadAt, watch.NextAppendAt));
 }
 
-void begin(Watch &watch, const Policy &policy, TimePoint now) {
+void begin(Watch &watch, const Policy &policy, Step step, TimePoint now) {
   watch.Calling = true;
-  watch.NextCallAt = now + policy.ReadEvery;
+  (step == Step::Read ? watch.NextReadAt : watch.NextAppendAt) =
+      now + policy.CallEvery;
 }
 
 Record recordFor(const Watch &watch, Step step) {
@@ -86,7 +107,7 @@
   watch.Known = true;
   watch.End = end;
   if (moved)
-    watch.RenewedBy = renewedBy;
+    watch.RenewedBy = watch.HeardAt = renewedBy;
   watch.Newest = std::move(newest);
   bool own = watch.Newest && watch.Newest->Holder == watch.Self &&
              watch.Newest->Token == watch.HeldToken && !watch.Newest->Released;
@@ -114,16 +135,16 @@
   watch.Known = true;
   watch.Newest = record;
   watch.End = end;
-  watch.RenewedBy = sentAt;
-  watch.HeardAt = sentAt;
+  watch.RenewedBy = watch.ReadAt = watch.HeardAt = sentAt;
   watch.HeldToken = record.Released ? 0 : record.Token;
+  watch.HandingOver = false;
   watch.HeldUntil = sentAt + policy.Lease - policy.Margin;
 }
 
 void noteFailed(Watch &watch, const Policy &policy, TimePoint now) {
   watch.Calling = false;
   watch.Known = false;
-  watch.NextCallAt = now + policy.RetryAfter;
+  watch.NextReadAt = watch.NextAppendAt = now + policy.RetryAfter;
 }
 
 void noteHeard(Watch &watch, const Record &record, uint64_t end,
@@ -132,6 +153,7 @@
   if (older || (isHolder(watch) && record.Token <= watch.HeldToken))
     return;
   watch.HeardAt = now;
+  watch.ReadAt = std::max(watch.ReadAt, now - age);
   if (watch.Known && watch.Newest && end < watch.End)
     return;
   take(watch, record, end, now - age);
--- a/src/libs/duty/duty.h
+++ b/src/libs/duty/duty.h
@@ -36,8 +36,9 @@
   Milliseconds RenewEvery{600};
   /// A record is read again when nothing was heard of the holder for so long.
   Milliseconds HolderSilence{900};
-  /// Pause between calls to the store, and after one that failed.
-  Milliseconds ReadEvery{300};
+  /// Pause between two reads and between two appends, and after a call that
+  /// failed.
+  Milliseconds CallEvery{300};
   Milliseconds RetryAfter{500};
 };
 
@@ -53,7 +54,7 @@
   uint64_t End = 0;
   /// When this VM first knew of that end; the renewal was no later.
   TimePoint RenewedBy{};
-  /// When the newest read of the record was sent.
+  /// Age of the newest word on the record: when its read was sent.
   TimePoint ReadAt{};
   /// When the holder was last heard of.
   TimePoint HeardAt{};
@@ -61,11 +62,17 @@
   /// Token under which this VM holds the duty; 0 if it does not.
   int64_t HeldToken = 0;
   TimePoint HeldUntil{};
-  /// Nothing is sent to the store before this point.
-  TimePoint NextCallAt{};
+  /// Nothing is read, or appended, before these points.
+  TimePoint NextReadAt{};
+  TimePoint NextAppendAt{};
   /// A call to the store is under way.
   bool Calling = false;
+  /// This VM seeks the duty no more.
   bool GivingUp = false;
+  /// This VM hands the duty to a stronger one.
+  bool HandingOver = false;
+  /// Time that it leaves stronger VMs for a claim.
+  Milliseconds ClaimDelay{0};
 };
 
 enum class Step : uint8_t { Wait, Read, Claim, Renew, Release };
@@ -77,7 +84,7 @@
 TimePoint nextStepAt(const Watch &watch, const Policy &policy);
 
 /// Notes that a call to the store is sent.
-void begin(Watch &watch, const Policy &policy, TimePoint now);
+void begin(Watch &watch, const Policy &policy, Step step, TimePoint now);
 
 /// The record to append for a step.
 Record recordFor(const Watch &watch, Step step);
--- a/src/libs/fleet/configuration.cpp
+++ b/src/libs/fleet/configuration.cpp
@@ -9,15 +9,23 @@
   return names[static_cast<size_t>(kind)];
 }
 
-const Model *Engine::findModel(std::string_view name) const {
-  auto it = std::find_if(Models.begin(), Models.end(),
-                         [&](const Model &m) { return m.Name == name; });
-  return it == Models.end() ? nullptr : &*it;
+void Engine::index() {
+  IndexOf.clear();
+  for (uint32_t i = 0; i < Models.size(); ++i)
+    IndexOf[Models[i].Name] = i;
+}
+
+const Model *Engine::findModel(const std::string &name) const {
+  auto it = IndexOf.find(name);
+  return it == IndexOf.end() ? nullptr : &Models[it->second];
 }
 
 void Configuration::index() {
   RoutesOfHost.clear();
   TeamOfKey.clear();
+  for (Service &it : Services)
+    if (it.ModelEngine)
+      it.ModelEngine->index();
   for (uint32_t i = 0; i < Routes.size(); ++i)
     RoutesOfHost[Routes[i].Host].push_back(i);
   for (auto &[host, list] : RoutesOfHost)
--- a/src/libs/fleet/configuration.h
+++ b/src/libs/fleet/configuration.h
@@ -75,7 +75,12 @@
   double StoreLoadsPerSecond = 0;
   std::vector<Model> Models;
 
-  const Model *findModel(std::string_view name) const;
+  /// Builds the index behind findModel().
+  void index();
+  const Model *findModel(const std::string &name) const;
+
+private:
+  std::unordered_map<std::string, uint32_t> IndexOf;
 };
 
 struct Service {
--- a/src/libs/fleetlink/fleetlink.cpp
+++ b/src/libs/fleetlink/fleetlink.cpp
@@ -1,6 +1,7 @@
 #include "fleetlink/fleetlink.h"
 
 #include "codec/codec.h"
+#include "utils/digest.h"
 
 namespace FleetLink {
 
@@ -21,11 +22,11 @@
 }
 template <class Archive> void serialize(Archive &archive, Report &it) {
   archive(it.Member, it.Address, it.Incarnation, it.Sequence, it.Token,
-          it.TableRevision, it.StoreSilentMs, it.Leaving, it.Teams, it.Waiting,
-          it.Calls, it.Loads, it.Bounces);
+          it.Lineage, it.TableRevision, it.Strength, it.StoreSilentMs,
+          it.Leaving, it.Teams, it.Waiting, it.Calls, it.Loads, it.Bounces);
 }
 template <class Archive> void serialize(Archive &archive, TeamTotal &it) {
-  archive(it.Team, it.Level, it.Fleet, it.Own);
+  archive(it.Team, it.Level, it.Share);
 }
 template <class Archive> void serialize(Archive &archive, AdapterEntry &it) {
   archive(it.Name, it.ReadyInMs);
@@ -39,9 +40,9 @@
 }
 template <class Archive> void serialize(Archive &archive, Beat &it) {
   archive(it.Holder, it.Address, it.Token, it.RecordEnd, it.RecordAgeMs,
-          it.Released, it.Members, it.Incarnation, it.Sequence, it.Teams,
-          it.OperatorsNext, it.OperatorsAgeMs, it.EndpointsAgeMs,
-          it.TableRevision, it.Whole, it.Entries, it.Loads);
+          it.Released, it.Members, it.Strongest, it.Incarnation, it.Sequence,
+          it.Teams, it.OperatorsNext, it.OperatorsAgeMs, it.EndpointsAgeMs,
+          it.Lineage, it.TableRevision, it.Entries, it.Loads);
 }
 
 namespace {
@@ -56,6 +57,10 @@
 
 } // namespace
 
+uint32_t keyOf(std::string_view name) {
+  return uint32_t(Utils::fastHash(name));
+}
+
 std::string encode(const Report &report) {
   return encodeAs(Kind::Report, report);
 }
--- a/src/libs/fleetlink/fleetlink.h
+++ b/src/libs/fleetlink/fleetlink.h
@@ -13,12 +13,16 @@
 
 namespace FleetLink {
 
-/// Longest datagram that is sent; fits into one UDP packet of the sites.
+/// Longest datagram that is sent; fits into one UDP packet.
 constexpr size_t MaxDatagramBytes = 60000;
 
+/// Short for a name, in messages that go often.
+uint32_t keyOf(std::string_view name);
+
 /// Tokens of a team that a gateway has admitted since its process started.
 struct TeamUse {
-  std::string Team;
+  /// Key of its name.
+  uint32_t Team = 0;
   /// Without those of calls that did not run.
   int64_t Tokens = 0;
 };
@@ -33,19 +37,21 @@
   uint32_t EarliestDeadlineMs = 0;
 };
 
-/// Calls of a model since the report before.
+/// Calls of a model since the report before; in the first report to a holder,
+/// of the last seconds, those long ago counted as part of one.
 struct ModelCalls {
   std::string Service;
   std::string Model;
   /// Empty for the model itself.
   std::string Adapter;
-  uint32_t Calls = 0;
+  double Calls = 0;
 };
 
 /// Calls under way at an endpoint.
 struct EndpointCalls {
-  std::string Endpoint;
-  uint32_t Calls = 0;
+  /// Key of its id.
+  uint32_t Endpoint = 0;
+  uint16_t Calls = 0;
 };
 
 /// An endpoint said that it does not hold what it was thought to hold.
@@ -65,11 +71,15 @@
   uint64_t Sequence = 0;
   /// Highest token of the duty that the gateway knows of.
   int64_t Token = 0;
-  /// Revision up to which it knows the table.
+  /// Line of the table that it knows, and the revision up to which.
+  uint64_t Lineage = 0;
   uint64_t TableRevision = 0;
+  /// How much of the holder's work the VM could bear, against others.
+  uint8_t Strength = 0;
   /// Since when the store has not answered it.
   uint32_t StoreSilentMs = 0;
   bool Leaving = false;
+  /// Those that changed since the newest report that was answered.
   std::vector<TeamUse> Teams;
   std::vector<WaitingCalls> Waiting;
   std::vector<ModelCalls> Calls;
@@ -77,15 +87,15 @@
   std::vector<Misplaced> Bounces;
 };
 
-/// Tokens of a team as the holder has counted them.
+/// Tokens of a team as the holder has counted them, with those of the report
+/// that is answered.
 struct TeamTotal {
-  std::string Team;
+  /// Key of its name.
+  uint32_t Team = 0;
   /// Level of the team's bucket.
-  int64_t Level = 0;
-  /// Of all gateways, since the holder's start.
-  int64_t Fleet = 0;
-  /// Of the gateway addressed, as its newest report said.
-  int64_t Own = 0;
+  int32_t Level = 0;
+  /// Share of the gateway in the team's limit, in 255ths.
+  uint8_t Share = 0;
 };
 
 struct AdapterEntry {
@@ -129,6 +139,8 @@
   uint32_t RecordAgeMs = 0;
   bool Released = false;
   uint32_t Members = 0;
+  /// Greatest strength among the gateways.
+  uint8_t Strongest = 0;
   /// Incarnation and sequence of the newest report taken from the gateway.
   uint64_t Incarnation = 0;
   uint64_t Sequence = 0;
@@ -140,9 +152,9 @@
   /// How long ago the entries were all that the store lists.
   uint32_t EndpointsAgeMs = 0;
   /// Entries that changed since the revision of that report, up to this one.
+  /// Revisions of one lineage go on from holder to holder.
+  uint64_t Lineage = 0;
   uint64_t TableRevision = 0;
-  /// The entries are the whole table.
-  bool Whole = false;
   std::vector<EndpointEntry> Entries;
   std::vector<EndpointCalls> Loads;
 };
--- a/src/libs/gateway/call.cpp
+++ b/src/libs/gateway/call.cpp
@@ -42,7 +42,8 @@
   if (!identify() || !admit())
     return;
   if (needsModel())
-    State.Part.member().noteCall(Service, Facts.Model, Facts.Adapter);
+    State.Part.member().noteCall(Service, Facts.Model, Facts.Adapter,
+                                 ArrivedAt);
   auto self = shared_from_this();
   Caller->OnGone = [self] { self->onCallerGone(); };
   DeadlineTimer.expires_at(Deadline);
--- a/src/libs/gateway/call.h
+++ b/src/libs/gateway/call.h
@@ -43,6 +43,7 @@
   void onEnd(HttpIo::ExchangeEnd end);
   void completeAnswer();
   void onSendFailed(Balance::SendEnd end);
+  void follow(Balance::NextStep next);
   void endUnsent(std::string_view reason,
                  std::optional<Utils::Milliseconds> comeBack);
   void onDeadline();
@@ -73,7 +74,6 @@
   Utils::TimePoint SentAt;
   Http::ResponseHead Head;
   bool HeadIsAnswer = false;
-  bool Misplaced = false;
   bool NotRun = false;
   std::string Body;
 
--- a/src/libs/gateway/callsend.cpp
+++ b/src/libs/gateway/callsend.cpp
@@ -68,7 +68,17 @@
 
 std::vector<const Fleet::Endpoint *> Call::ableEndpoints() const {
   std::vector<const Fleet::Endpoint *> able;
-  for (const auto &[id, endpoint] : State.Known.endpoints().all())
+  const Fleet::EndpointTable &endpoints = State.Known.endpoints();
+  const auto *places = Facts.Model.empty()
+                           ? nullptr
+                           : State.Part.member().placesOf(Facts.Model, SentAt);
+  if (places) {
+    for (const std::string &id : *places)
+      if (const auto *it = endpoints.find(id); it && isAble(*it))
+        able.push_back(it);
+    return able;
+  }
+  for (const auto &[id, endpoint] : endpoints.all())
     if (isAble(endpoint))
       able.push_back(&endpoint);
   return able;
@@ -153,7 +163,8 @@
                                                  : Utils::TimePoint::min());
   ++Sends;
   ++RunsBegun;
-  NotRun = HeadIsAnswer = Misplaced = false;
+  NotRun = HeadIsAnswer = false;
+  Head = {};
   Body.clear();
   State.Board.sent(EndpointId);
   Connection->exchange(
@@ -180,7 +191,6 @@
     return HttpIo::HeadVerdict::Skip;
   NotRun = reply.NotRun;
   HeadIsAnswer = reply.Genuine && !NotRun;
-  Misplaced = reply.WrongEndpoint;
   Head = head;
   if (HeadIsAnswer)
     State.Board.answering(
@@ -277,9 +287,28 @@
   progress.NotRun = NotRun;
   progress.AnswerBegun = AnswerBegun;
   Utils::TimePoint now = Utils::BootClock::now();
-  progress.TimeLeft = now + LeastTimeToSend < Deadline &&
-                      State.retryBudget(Service).takeRepeat(now);
-  switch (Balance::afterFailure(progress)) {
+  bool inTime = now + LeastTimeToSend < Deadline;
+  bool inBudget = inTime && State.retryBudget(Service).takeRepeat(now);
+  progress.TimeLeft = inBudget;
+  Balance::NextStep next = Balance::afterFailure(progress);
+  Utils::Event("send_failed")
+      .with("id", Facts.Id)
+      .with("endpoint", EndpointId)
+      .with("model", Facts.Model)
+      .with("adapter", Facts.Adapter)
+      .with("end", Balance::sendEndName(end))
+      .with("status", Head.Status)
+      .with("not_run", NotRun)
+      .with("in_time", inTime)
+      .with("in_budget", inBudget)
+      .with("next", Balance::nextStepName(next))
+      .with("ms", Utils::msBetween(SentAt, now))
+      .info();
+  follow(next);
+}
+
+void Call::follow(Balance::NextStep next) {
+  switch (next) {
   case Balance::NextStep::SendAgain:
   case Balance::NextStep::Resume:
     return dispatch();
--- a/src/libs/gateway/dutykeeper.cpp
+++ b/src/libs/gateway/dutykeeper.cpp
@@ -4,6 +4,8 @@
 #include "gateway/gatewayconstants.h"
 #include "utils/utils.h"
 
+#include <utility>
+
 namespace Duty {
 
 template <class Archive> void serialize(Archive &archive, Record &it) {
@@ -44,6 +46,13 @@
   noteChange();
 }
 
+void DutyKeeper::handOver() {
+  if (std::exchange(State.HandingOver, true))
+    return;
+  Utils::Event("duty_handed_over").with("token", State.HeldToken).info();
+  step();
+}
+
 void DutyKeeper::wake() {
   // Spread, so that not all gateways ask at once.
   std::uniform_int_distribution<int> spread(0, 100);
@@ -64,7 +73,7 @@
   Duty::Step next = Duty::nextStep(State, Policy, now);
   if (next == Duty::Step::Wait)
     return wake();
-  Duty::begin(State, Policy, now);
+  Duty::begin(State, Policy, next, now);
   if (next == Duty::Step::Read)
     return read();
   append(next);
--- a/src/libs/gateway/dutykeeper.h
+++ b/src/libs/gateway/dutykeeper.h
@@ -23,6 +23,10 @@
   void hear(const Duty::Record &record, uint64_t end, Utils::Milliseconds age);
   /// An engine has refused this VM's token for a higher one.
   void noteFenced();
+  /// Gives the duty to a stronger VM.
+  void handOver();
+  /// Time that this VM leaves stronger ones for a claim.
+  void setClaimDelay(Utils::Milliseconds delay) { State.ClaimDelay = delay; }
 
   const Duty::Watch &watch() const { return State; }
   bool holds() const;
--- a/src/libs/gateway/fleetholder.cpp
+++ b/src/libs/gateway/fleetholder.cpp
@@ -4,6 +4,8 @@
 #include "utils/utils.h"
 
 #include <algorithm>
+#include <random>
+#include <utility>
 
 namespace Gateway {
 
@@ -21,9 +23,33 @@
 /// levels that it took over.
 constexpr milliseconds TakeOver{1500};
 
-/// Entries of one datagram: about 150 bytes each, and 60 of them with long
-/// lists of adapters stay below its limit.
-constexpr size_t EntriesPerBeat = 100;
+/// Time in which the gateways tell a new holder what is called.
+constexpr milliseconds DemandSettle{600};
+/// Pause before a plan for calls that wait, in which more may come.
+constexpr milliseconds UrgentPlanPause{2};
+/// How long a sum of the gateways' loads is used; reports are older.
+constexpr milliseconds LoadsAge{100};
+/// Pause before gateways are told of a change, in which more may come.
+constexpr milliseconds TellPause{3};
+
+/// Part of the VM's link that entries of endpoints may take, their size, and
+/// the beats of a second in a large fleet.
+constexpr double LinkPartOfEntries = 0.1;
+constexpr double EntryBytes = 250;
+constexpr double BeatsPerSecond = 250;
+/// Least and most entries of one beat; the most still fit into a datagram.
+constexpr double LeastEntries = 4;
+constexpr double MostEntries = 100;
+
+size_t entriesPerBeat(double linkMbps) {
+  constexpr double bytesPerMbit = 125'000;
+  double entries = linkMbps * bytesPerMbit * LinkPartOfEntries /
+                   (BeatsPerSecond * EntryBytes);
+  return size_t(std::clamp(entries, LeastEntries, MostEntries));
+}
+
+/// Revisions of a holder begin at its token, shifted so far.
+constexpr int TokenShift = 32;
 
 uint32_t msUntil(Utils::TimePoint at, Utils::TimePoint now) {
   if (at <= now)
@@ -35,16 +61,30 @@
 } // namespace
 
 FleetHolder::FleetHolder(Context context, int64_t token,
-                         const std::map<std::string, double> &levels)
+                         const Inheritance &inherited)
     : It(std::move(context)), Token(token), StartedAt(Utils::BootClock::now()),
-      PlanTimer(It.Loop) {
+      Lineage(inherited.Lineage), PlanTimer(It.Loop), TellTimer(It.Loop) {
   RunnerContext = makeRunnerContext();
   onConfiguration();
-  for (const auto &[team, level] : levels)
-    if (auto it = Buckets.find(team); it != Buckets.end())
-      it->second.Level.setLevel(level, StartedAt);
+  for (auto &[key, team] : Teams)
+    if (auto it = inherited.Levels.find(team.Name);
+        it != inherited.Levels.end())
+      team.Book.setLevel(it->second, StartedAt);
+  bool goesOn = inherited.TableRevision > 0;
   for (const auto &[id, endpoint] : It.Known.endpoints().all())
     onEndpoint(id);
+  Revisions.clear();
+  if (goesOn)
+    Revisions = inherited.Revisions;
+  else
+    Lineage = std::random_device{}() | uint64_t(Token) << TokenShift;
+  // Above all that holders between may have numbered.
+  Revision = uint64_t(Token) << TokenShift;
+  for (const auto &[id, content] : Contents)
+    if (Revisions.count(id) == 0)
+      Revisions[id] = ++Revision;
+  if (goesOn)
+    NoPlanBefore = StartedAt + DemandSettle;
 }
 
 FleetHolder::~FleetHolder() {
@@ -66,8 +106,9 @@
     return;
   for (const Fleet::Team &team : config->Teams) {
     Quota::Limit limit{team.RatePerSecond, team.Burst};
-    auto added = Buckets.try_emplace(team.Name, TeamBucket{{limit, now}, 0});
-    added.first->second.Level.setLimit(limit, now);
+    auto added = Teams.try_emplace(FleetLink::keyOf(team.Name),
+                                   Team{team.Name, {limit, now}});
+    added.first->second.Book.setLimit(limit, now);
   }
   tellAll();
 }
@@ -86,18 +127,20 @@
   member.Newest = report;
   member.HeardAt = now;
   for (const FleetLink::Misplaced &it : report.Bounces)
-    if (auto place = Places.find(it.Endpoint); place != Places.end())
+    if (Places.count(it.Endpoint) > 0) {
+      changed(it.Endpoint, true);
       runner(it.Endpoint)->askReport();
-  bool wants = !report.Waiting.empty();
-  if (wants)
-    planNow();
+    }
+  if (!report.Waiting.empty())
+    planAfter(UrgentPlanPause);
   answer(member);
 }
 
 void FleetHolder::noteUse(const FleetLink::ModelCalls &use,
                           Utils::TimePoint now) {
+  Demand.note({use.Service, use.Model}, use.Calls, now);
   if (use.Adapter.empty())
-    return Demand.note({use.Service, use.Model}, use.Calls, now);
+    return;
   for (auto &[id, place] : Places)
     if (auto *model =
             place.Service == use.Service ? place.find(use.Model) : nullptr)
@@ -105,28 +148,43 @@
         adapter->LastUsed = now;
 }
 
-void FleetHolder::countTokens(const Member &before,
-                              const FleetLink::Report &report) {
+void FleetHolder::countTokens(Member &member, const FleetLink::Report &report) {
   Utils::TimePoint now = Utils::BootClock::now();
-  bool known = before.Newest.Incarnation == report.Incarnation;
-  // What a gateway admitted before this holder heard of it for the first time
-  // is in the levels that the holder took over.
-  if (!known && now < StartedAt + TakeOver)
-    return;
+  if (member.Newest.Incarnation != report.Incarnation) {
+    member.Counted.clear();
+    member.FromBefore = now < StartedAt + TakeOver;
+  }
   for (const FleetLink::TeamUse &it : report.Teams) {
-    auto bucket = Buckets.find(it.Team);
-    if (bucket == Buckets.end())
-      continue;
-    int64_t counted = 0;
-    if (known)
-      for (const FleetLink::TeamUse &old : before.Newest.Teams)
-        if (old.Team == it.Team)
-          counted = old.Tokens;
-    bucket->second.Level.take(double(it.Tokens - counted), now);
-    bucket->second.Fleet += it.Tokens - counted;
+    auto team = Teams.find(it.Team);
+    auto [counted, isNew] = member.Counted.try_emplace(it.Team, 0);
+    int64_t fresh = it.Tokens - counted->second;
+    counted->second = it.Tokens;
+    if (team != Teams.end() && !(isNew && member.FromBefore))
+      team->second.Book.count(report.Member, double(fresh), now);
+  }
+}
+
+void FleetHolder::addTeams(FleetLink::Beat &beat, const Member &member) {
+  Utils::TimePoint now = Utils::BootClock::now();
+  uint32_t members = liveMembers();
+  constexpr double shares = 255;
+  constexpr double most = 2e9;
+  for (auto &[key, team] : Teams) {
+    double level = std::clamp(team.Book.level(now), -most, most);
+    double share = team.Book.shareOf(member.Newest.Member, members, now);
+    beat.Teams.push_back({key, int32_t(level), uint8_t(share * shares)});
   }
 }
 
+uint8_t FleetHolder::strongest() const {
+  Utils::TimePoint now = Utils::BootClock::now();
+  uint8_t most = 0;
+  for (const auto &[name, member] : Members)
+    if (now < member.HeardAt + MemberLifetime && !member.Newest.Leaving)
+      most = std::max(most, member.Newest.Strength);
+  return most;
+}
+
 bool FleetHolder::mayAct() const { return It.Leased() || storeIsAway(); }
 
 /// Whether no gateway can have taken over: most of them still report here, and
@@ -164,30 +222,49 @@
       }));
 }
 
-std::vector<FleetLink::EndpointCalls> FleetHolder::fleetLoads() const {
-  std::map<std::string, uint32_t> sums;
+/// Adds up the loads that the gateways report, at most every LoadsAge.
+const std::vector<FleetLink::EndpointCalls> &FleetHolder::fleetLoads() {
   Utils::TimePoint now = Utils::BootClock::now();
+  if (now < LoadsAt + LoadsAge)
+    return Loads;
+  LoadsAt = now;
+  std::map<uint32_t, uint32_t> sums;
   for (const auto &[name, member] : Members)
     if (now < member.HeardAt + MemberLifetime)
       for (const FleetLink::EndpointCalls &it : member.Newest.Loads)
         sums[it.Endpoint] += it.Calls;
-  std::vector<FleetLink::EndpointCalls> out;
-  out.reserve(sums.size());
-  for (const auto &[id, n] : sums)
-    out.push_back({id, n});
-  return out;
+  Loads.clear();
+  for (const auto &[key, n] : sums)
+    Loads.push_back({key, uint16_t(std::min(n, 65535U))});
+  return Loads;
 }
 
 void FleetHolder::answer(const Member &member) {
   It.Send(member.Newest.Address, makeBeat(member));
 }
 
+/// Tells the gateways whose calls wait, a little later.
 void FleetHolder::tellWaiting() {
-  Utils::TimePoint now = Utils::BootClock::now();
-  for (const auto &[name, member] : Members)
-    if (!member.Newest.Waiting.empty() &&
-        now < member.HeardAt + WaitingLifetime)
-      answer(member);
+  if (std::exchange(TellDue, true))
+    return;
+  TellTimer.expires_after(TellPause);
+  TellTimer.async_wait([this](const std::error_code &ec) {
+    if (ec)
+      return;
+    TellDue = false;
+    if (std::exchange(AllAreTold, false))
+      return tellAll();
+    Utils::TimePoint now = Utils::BootClock::now();
+    for (const auto &[name, member] : Members)
+      if (!member.Newest.Waiting.empty() &&
+          now < member.HeardAt + WaitingLifetime)
+        answer(member);
+  });
+}
+
+void FleetHolder::tellAllSoon() {
+  AllAreTold = true;
+  tellWaiting();
 }
 
 namespace {
@@ -240,13 +317,13 @@
     if (revision > seen)
       due.emplace_back(revision, &id);
   std::sort(due.begin(), due.end());
+  const size_t most = entriesPerBeat(It.Settings.LinkMbps);
   beat.TableRevision = Revision;
-  beat.Whole = seen == 0 && due.size() <= EntriesPerBeat;
   for (const auto &[revision, id] : due) {
-    if (beat.Entries.size() == EntriesPerBeat)
+    if (beat.Entries.size() == most)
       return;
     beat.Entries.push_back(entryOf(*id));
-    if (due.size() > EntriesPerBeat)
+    if (due.size() > most)
       beat.TableRevision = revision;
   }
 }
@@ -260,15 +337,14 @@
   out.Members = liveMembers();
   out.Incarnation = report.Incarnation;
   out.Sequence = report.Sequence;
-  for (const FleetLink::TeamUse &it : report.Teams)
-    if (auto bucket = Buckets.find(it.Team); bucket != Buckets.end())
-      out.Teams.push_back({it.Team, int64_t(bucket->second.Level.level(now)),
-                           bucket->second.Fleet, it.Tokens});
+  out.Strongest = strongest();
+  addTeams(out, member);
   ReadFacts read = It.HasRead();
   out.OperatorsNext = read.OperatorsNext;
   out.OperatorsAgeMs = ageOf(read.OperatorsAsOf, now);
   out.EndpointsAgeMs = ageOf(read.EndpointsAsOf, now);
-  addEntries(out, report.Token == Token ? report.TableRevision : 0);
+  out.Lineage = Lineage;
+  addEntries(out, report.Lineage == Lineage ? report.TableRevision : 0);
   out.Loads = fleetLoads();
   return out;
 }
--- a/src/libs/gateway/fleetholder.h
+++ b/src/libs/gateway/fleetholder.h
@@ -2,6 +2,7 @@
 #define GATEWAY_FLEETHOLDER_H
 
 #include "fleetlink/fleetlink.h"
+#include "gateway/fleetmember.h"
 #include "gateway/gatewaysettings.h"
 #include "gateway/orderrunner.h"
 #include "gateway/view.h"
@@ -39,9 +40,7 @@
         Send;
   };
 
-  /// `levels`: what this VM knows of the teams' buckets.
-  FleetHolder(Context context, int64_t token,
-              const std::map<std::string, double> &levels);
+  FleetHolder(Context context, int64_t token, const Inheritance &inherited);
   ~FleetHolder();
   FleetHolder(const FleetHolder &) = delete;
   FleetHolder &operator=(const FleetHolder &) = delete;
@@ -51,6 +50,10 @@
   /// The list of endpoints has changed.
   void onEndpoint(const std::string &id);
   void onConfiguration();
+  /// Greatest strength among the gateways.
+  uint8_t strongest() const;
+  /// Tells all gateways now.
+  void tellAll();
   /// Tells the gateway at the address that this VM holds the duty.
   void announce(const std::string &address);
 
@@ -58,22 +61,27 @@
   struct Member {
     FleetLink::Report Newest;
     Utils::TimePoint HeardAt{};
+    /// Tokens of the gateway's teams that have been counted.
+    std::map<uint32_t, int64_t> Counted;
+    /// What it admitted before is in the levels that were taken over.
+    bool FromBefore = false;
   };
-  struct TeamBucket {
-    Quota::Bucket Level;
-    int64_t Fleet = 0;
+  struct Team {
+    std::string Name;
+    Quota::Ledger Book;
   };
 
   // Gateways.
   void noteUse(const FleetLink::ModelCalls &use, Utils::TimePoint now);
-  void countTokens(const Member &before, const FleetLink::Report &report);
+  void countTokens(Member &member, const FleetLink::Report &report);
+  void addTeams(FleetLink::Beat &beat, const Member &member);
   void answer(const Member &member);
   void tellWaiting();
-  void tellAll();
+  void tellAllSoon();
   FleetLink::Beat makeBeat(const Member &member);
   void addEntries(FleetLink::Beat &beat, uint64_t seen) const;
   FleetLink::EndpointEntry entryOf(const std::string &id) const;
-  std::vector<FleetLink::EndpointCalls> fleetLoads() const;
+  const std::vector<FleetLink::EndpointCalls> &fleetLoads();
   bool mayAct() const;
   bool storeIsAway() const;
   uint32_t liveMembers() const;
@@ -92,9 +100,12 @@
   uint32_t storeLoadsLeft();
   size_t storeLoadsUnderWay() const;
   void planSoon();
+  void planAfter(Utils::Milliseconds pause);
   void planNow();
   void begin(Residency::Task task);
-  void changed(const std::string &id);
+  /// The entry of an endpoint may have changed; `anew`: some gateway does not
+  /// know it as it is.
+  void changed(const std::string &id, bool anew = false);
   std::shared_ptr<OrderRunner> runner(const std::string &id);
   std::shared_ptr<OrderRunner::Context> makeRunnerContext();
 
@@ -102,7 +113,8 @@
   int64_t Token;
   Utils::TimePoint StartedAt;
   std::map<std::string, Member> Members;
-  std::map<std::string, TeamBucket> Buckets;
+  /// By the key of the team's name.
+  std::map<uint32_t, Team> Teams;
   Residency::Demand Demand;
   Residency::Places Places;
   std::map<std::string, std::shared_ptr<OrderRunner>> Runners;
@@ -110,15 +122,24 @@
   /// Revision at which the entry of an endpoint changed last, also of those
   /// that are gone.
   std::map<std::string, uint64_t> Revisions;
-  /// What the entries of endpoints say beside their models.
-  std::map<std::string, std::string> Listed;
+  /// What the entries say.
+  std::map<std::string, std::string> Contents;
+  uint64_t Lineage;
   uint64_t Revision = 0;
   /// Beginnings of loads from the weight store.
   std::deque<Utils::TimePoint> StoreLoads;
   /// Expected end of the newest load from the store, by endpoint.
   std::map<std::string, Utils::TimePoint> StoreLoadEnds;
+  std::vector<FleetLink::EndpointCalls> Loads;
+  Utils::TimePoint LoadsAt{};
   HttpIo::Timer PlanTimer;
-  bool PlanDue = false;
+  /// When the next plan is due; max() if none is.
+  Utils::TimePoint PlanAt = Utils::TimePoint::max();
+  /// No plan is made before then.
+  Utils::TimePoint NoPlanBefore{};
+  HttpIo::Timer TellTimer;
+  bool TellDue = false;
+  bool AllAreTold = false;
 };
 
 } // namespace Gateway
--- a/src/libs/gateway/fleetmember.cpp
+++ b/src/libs/gateway/fleetmember.cpp
@@ -3,6 +3,7 @@
 #include "gateway/gatewayconstants.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Gateway {
 
@@ -15,6 +16,8 @@
 constexpr milliseconds BounceRest{150};
 /// Bounces that one report tells of; more say nothing new.
 constexpr size_t MostBounces = 16;
+/// Reports that a beat may still answer.
+constexpr size_t ReportsRemembered = 32;
 
 Quota::Limit limitOf(const Fleet::Team &team, double tolerance) {
   return {team.RatePerSecond, team.Burst, tolerance};
@@ -59,16 +62,32 @@
     it->second.giveBack(tokens, now);
 }
 
-std::map<std::string, double> FleetMember::levels(TimePoint now) {
-  std::map<std::string, double> out;
+Inheritance FleetMember::inheritance(TimePoint now) {
+  Inheritance out;
   for (auto &[team, meter] : Meters)
-    out[team] = meter.level(now);
+    out.Levels[team] = meter.level(now);
+  out.Lineage = Lineage;
+  out.TableRevision = TableRevision;
+  out.Revisions = Revisions;
   return out;
 }
 
 void FleetMember::noteCall(const std::string &service, const std::string &model,
-                           const std::string &adapter) {
+                           const std::string &adapter, TimePoint now) {
   ++Calls[{service, model, adapter}];
+  Demand.note({service, model}, 1, now);
+}
+
+void FleetMember::addCalls(FleetLink::Report &report, TimePoint now) {
+  if (std::exchange(ToldToken, Token) != Token) {
+    for (const auto &[key, calls] : Demand.counts(now))
+      report.Calls.push_back({key.Service, key.Model, "", calls});
+  } else {
+    for (const auto &[key, n] : Calls)
+      report.Calls.push_back(
+          {std::get<0>(key), std::get<1>(key), std::get<2>(key), double(n)});
+  }
+  Calls.clear();
 }
 
 void FleetMember::noteBounce(const std::string &endpoint,
@@ -84,6 +103,20 @@
   ready = std::max(ready, now + BounceRest);
 }
 
+/// Adds the teams of which the holder does not know the newest count.
+void FleetMember::addTeams(FleetLink::Report &report) {
+  auto &told = Told[Sequence];
+  for (const auto &[team, meter] : Meters) {
+    uint32_t key = FleetLink::keyOf(team);
+    told[key] = meter.admitted();
+    auto known = Answered.find(key);
+    if (known == Answered.end() || known->second != meter.admitted())
+      report.Teams.push_back({key, meter.admitted()});
+  }
+  if (Told.size() > ReportsRemembered)
+    Told.erase(Told.begin());
+}
+
 FleetLink::Report FleetMember::makeReport(const Balance::EndpointBoard &board,
                                           const Fleet::EndpointTable &endpoints,
                                           TimePoint now) {
@@ -93,18 +126,16 @@
   out.Incarnation = Incarnation;
   out.Sequence = ++Sequence;
   out.Token = Token;
-  out.TableRevision = isLed(now) ? TableRevision : 0;
-  for (const auto &[team, meter] : Meters)
-    out.Teams.push_back({team, meter.admitted()});
-  for (const auto &[key, n] : Calls)
-    out.Calls.push_back(
-        {std::get<0>(key), std::get<1>(key), std::get<2>(key), n});
-  Calls.clear();
+  out.Lineage = Lineage;
+  out.TableRevision = TableRevision;
+  addTeams(out);
+  addCalls(out, now);
   OwnLoads.clear();
   for (const auto &[id, endpoint] : endpoints.all())
     if (uint32_t n = board.health(id).InFlight; n > 0) {
-      out.Loads.push_back({id, n});
-      OwnLoads[id] = n;
+      uint32_t key = FleetLink::keyOf(id);
+      out.Loads.push_back({key, uint16_t(std::min(n, 65535U))});
+      OwnLoads[key] = n;
     }
   out.Bounces = std::move(Bounces);
   Bounces.clear();
@@ -116,18 +147,13 @@
     return false;
   if (beat.Token == Token && beat.Sequence < HeardSequence)
     return false;
-  if (beat.Token > Token) {
-    Table.clear();
-    TableRevision = 0;
-  }
+  if (beat.Token > Token)
+    Answered.clear(); // A new holder is told of every team.
   Token = beat.Token;
   HeardSequence = beat.Sequence;
   HeardAt = now;
   Members = beat.Members;
-  for (const FleetLink::TeamTotal &it : beat.Teams)
-    if (auto meter = Meters.find(it.Team); meter != Meters.end())
-      meter->second.hear({double(it.Level), it.Fleet, it.Own, beat.Members},
-                         now);
+  takeTeams(beat, now);
   takeTable(beat, now);
   OtherLoads.clear();
   for (const FleetLink::EndpointCalls &it : beat.Loads) {
@@ -138,17 +164,42 @@
   return true;
 }
 
+void FleetMember::takeTeams(const FleetLink::Beat &beat, TimePoint now) {
+  auto told = Told.find(beat.Sequence);
+  if (told == Told.end())
+    return;
+  Answered = told->second;
+  std::map<uint32_t, const FleetLink::TeamTotal *> totals;
+  for (const FleetLink::TeamTotal &it : beat.Teams)
+    totals[it.Team] = &it;
+  constexpr double shares = 255;
+  for (auto &[team, meter] : Meters) {
+    uint32_t key = FleetLink::keyOf(team);
+    auto total = totals.find(key);
+    auto own = Answered.find(key);
+    if (total != totals.end() && own != Answered.end())
+      meter.hear({double(total->second->Level), own->second,
+                  total->second->Share / shares},
+                 now);
+  }
+}
+
 void FleetMember::takeTable(const FleetLink::Beat &beat, TimePoint now) {
-  TableRevision = std::max(TableRevision, beat.TableRevision);
-  if (beat.Whole)
+  if (beat.Lineage != Lineage) {
     Table.clear();
+    Revisions.clear();
+    TableRevision = 0;
+    Lineage = beat.Lineage;
+  }
+  TableRevision = std::max(TableRevision, beat.TableRevision);
   for (const FleetLink::EndpointEntry &entry : beat.Entries) {
+    Revisions[entry.Endpoint] = beat.TableRevision;
+    auto &held = Table[entry.Endpoint];
+    held.clear();
     if (entry.Gone) {
       Table.erase(entry.Endpoint);
       continue;
     }
-    auto &held = Table[entry.Endpoint];
-    held.clear();
     for (const FleetLink::ModelEntry &model : entry.Models) {
       Held &it = held[model.Name];
       it.ReadyAt = pointIn(model.ReadyInMs, now);
@@ -156,6 +207,21 @@
         it.Adapters[adapter.Name] = pointIn(adapter.ReadyInMs, now);
     }
   }
+  if (beat.Entries.empty())
+    return;
+  Places.clear();
+  for (const auto &[id, models] : Table)
+    for (const auto &[model, held] : models)
+      Places[model].push_back(id);
+}
+
+const std::vector<std::string> *FleetMember::placesOf(const std::string &model,
+                                                      TimePoint now) const {
+  static const std::vector<std::string> nowhere;
+  if (!isLed(now))
+    return nullptr;
+  auto it = Places.find(model);
+  return it == Places.end() ? &nowhere : &it->second;
 }
 
 bool FleetMember::isLed(TimePoint now) const {
@@ -184,7 +250,7 @@
 }
 
 uint32_t FleetMember::loadOfOthers(const std::string &endpoint) const {
-  auto it = OtherLoads.find(endpoint);
+  auto it = OtherLoads.find(FleetLink::keyOf(endpoint));
   return it == OtherLoads.end() ? 0 : it->second;
 }
 
--- a/src/libs/gateway/fleetmember.h
+++ b/src/libs/gateway/fleetmember.h
@@ -5,6 +5,7 @@
 #include "fleet/fleet.h"
 #include "fleetlink/fleetlink.h"
 #include "quota/quota.h"
+#include "residency/residency.h"
 
 #include <functional>
 #include <map>
@@ -23,6 +24,15 @@
   std::map<std::string, TimePoint> Adapters;
 };
 
+/// What a new holder takes over from the gateway that it has been.
+struct Inheritance {
+  std::map<std::string, double> Levels;
+  uint64_t Lineage = 0;
+  uint64_t TableRevision = 0;
+  /// Revision up to which each endpoint's entry is known.
+  std::map<std::string, uint64_t> Revisions;
+};
+
 /// What this gateway counts for the holder of the fleet's duty, and what the
 /// holder has told it. Does no input or output.
 class FleetMember {
@@ -42,13 +52,12 @@
                                              double tokens, TimePoint now);
   void giveBack(const std::string &team, double tokens, TimePoint now);
 
-  /// Levels of the teams' buckets.
-  std::map<std::string, double> levels(TimePoint now);
+  Inheritance inheritance(TimePoint now);
 
   // What calls do.
 
   void noteCall(const std::string &service, const std::string &model,
-                const std::string &adapter);
+                const std::string &adapter, TimePoint now);
   void noteBounce(const std::string &endpoint, const std::string &model,
                   const std::string &adapter, TimePoint now);
 
@@ -71,6 +80,10 @@
                                    const std::string &model,
                                    const std::string &adapter,
                                    TimePoint now) const;
+  /// Endpoints that hold the model or are about to, by the holder's table; null
+  /// if there is none to rely on.
+  const std::vector<std::string> *placesOf(const std::string &model,
+                                           TimePoint now) const;
   /// Calls of other gateways under way at the endpoint.
   uint32_t loadOfOthers(const std::string &endpoint) const;
   uint32_t members() const { return Members; }
@@ -79,6 +92,9 @@
 private:
   using CallKey = std::tuple<std::string, std::string, std::string>;
 
+  void addTeams(FleetLink::Report &report);
+  void addCalls(FleetLink::Report &report, TimePoint now);
+  void takeTeams(const FleetLink::Beat &beat, TimePoint now);
   void takeTable(const FleetLink::Beat &beat, TimePoint now);
 
   std::string Name;
@@ -90,16 +106,28 @@
   bool BeginFull;
   std::map<std::string, Quota::Meter> Meters;
   std::map<CallKey, uint32_t> Calls;
+  /// Calls of this gateway, for a holder that is new.
+  Residency::Demand Demand;
+  /// Token of the holder that has been told of them.
+  int64_t ToldToken = 0;
   std::vector<FleetLink::Misplaced> Bounces;
-  std::map<std::string, uint32_t> OwnLoads;
+  std::map<uint32_t, uint32_t> OwnLoads;
+  /// Tokens admitted by team, as the newest reports said, by sequence.
+  std::map<uint64_t, std::map<uint32_t, int64_t>> Told;
+  /// The newest of them that was answered.
+  std::map<uint32_t, int64_t> Answered;
 
   int64_t Token = 0;
   TimePoint HeardAt{};
   uint64_t HeardSequence = 0;
   uint32_t Members = 0;
+  uint64_t Lineage = 0;
   uint64_t TableRevision = 0;
   std::map<std::string, std::map<std::string, Held>> Table;
-  std::map<std::string, uint32_t> OtherLoads;
+  std::map<std::string, uint64_t> Revisions;
+  /// Endpoints of the table by model.
+  std::map<std::string, std::vector<std::string>> Places;
+  std::map<uint32_t, uint32_t> OtherLoads;
 };
 
 } // namespace Gateway
--- a/src/libs/gateway/fleetpart.cpp
+++ b/src/libs/gateway/fleetpart.cpp
@@ -21,6 +21,10 @@
 /// Shortest time between two reports.
 constexpr milliseconds LeastInterval{10};
 
+/// Time that the weakest VM leaves to others: a lost claim and another one.
+constexpr milliseconds MostClaimDelay{1200};
+/// A holder hands over to a VM that is so many times stronger.
+constexpr int StrongerTimes = 2;
 /// Reports that a beat may still answer; older ones say nothing of its age.
 constexpr size_t ReportsRemembered = 32;
 /// Part of the operators' slack on limits that calls may use up; the rest is
@@ -32,6 +36,22 @@
   return uint64_t(device()) << 32 | device();
 }
 
+/// How much of the holder's work a VM can bear: the lesser of its parts of a
+/// core and of a link of 1,000 Mbit/s, in 255ths.
+uint8_t strengthOf(const GatewaySettings &settings) {
+  constexpr double linkMbps = 1000;
+  constexpr double scale = 255;
+  double part = std::min({settings.Cores, settings.LinkMbps / linkMbps, 1.0});
+  return uint8_t(std::max(1.0, part * scale));
+}
+
+/// Time that a VM leaves stronger ones for a claim of the duty.
+Utils::Milliseconds claimDelay(uint8_t own, uint8_t strongest) {
+  if (own >= strongest)
+    return Utils::Milliseconds(0);
+  return MostClaimDelay * (strongest - own) / strongest;
+}
+
 std::string addressOf(const GatewaySettings &settings) {
   return settings.IpAddress + ":" + std::to_string(settings.FirstInternalPort);
 }
@@ -42,7 +62,9 @@
     : It(std::move(context)), Address(addressOf(It.Settings)),
       Self(It.Settings.VmName, Address, randomNumber(), It.Settings.FirstStart),
       Duty(It.Loop, It.PlatformStore, It.Settings.VmName, Address),
-      Link(It.Loop), ReportTimer(It.Loop) {
+      Link(It.Loop), ReportTimer(It.Loop), Strength(strengthOf(It.Settings)) {
+  constexpr uint8_t unknown = 255;
+  Duty.setClaimDelay(claimDelay(Strength, unknown) / 2);
   Duty.OnChange = [this] { onDutyChange(); };
   Link.OnReport = [this](const FleetLink::Report &report) {
     if (Holder)
@@ -96,16 +118,20 @@
     Asked.erase(Asked.begin());
   out.Waiting = It.Waiting();
   out.Leaving = Leaving;
+  out.Strength = Strength;
   out.StoreSilentMs = uint32_t(std::clamp<int64_t>(
       Utils::msBetween(It.StoreAnsweredAt(), now), 0, 3600'000));
-  if (Holder)
-    return Holder->take(out);
+  if (Holder) {
+    Holder->take(out);
+    return considerHandover();
+  }
   Link.send(record->Address, FleetLink::encode(out));
 }
 
 void FleetPart::send(const std::string &address, const FleetLink::Beat &beat) {
   FleetLink::Beat out = beat;
   out.Address = Address;
+  out.Released = Duty.watch().Newest && Duty.watch().Newest->Released;
   out.RecordEnd = Duty.watch().End;
   out.RecordAgeMs = uint32_t(std::max<int64_t>(
       0, Utils::msBetween(Duty.watch().RenewedBy, Utils::BootClock::now())));
@@ -120,14 +146,23 @@
     FormerAddress = beat.Address;
   Duty.hear({beat.Holder, beat.Address, beat.Token, beat.Released},
             beat.RecordEnd, milliseconds(beat.RecordAgeMs));
+  Duty.setClaimDelay(claimDelay(Strength, beat.Strongest));
   auto asked = Asked.find(beat.Sequence);
   if (!Self.take(beat, now) || asked == Asked.end())
     return;
   It.Told(beat, asked->second);
 }
 
+/// Hands the duty over if it is too much for this VM and others are stronger.
+void FleetPart::considerHandover() {
+  if (Holder && Holder->strongest() > Strength * StrongerTimes)
+    Duty.handOver();
+}
+
 void FleetPart::onDutyChange() {
   if (Duty.watch().HeldToken == 0) {
+    if (Holder && Duty.watch().Newest && Duty.watch().Newest->Released)
+      Holder->tellAll();
     Holder.reset();
     return;
   }
@@ -142,7 +177,7 @@
       [this](const auto &address, const auto &beat) { send(address, beat); }};
   Holder =
       std::make_unique<FleetHolder>(std::move(context), Duty.watch().HeldToken,
-                                    Self.levels(Utils::BootClock::now()));
+                                    Self.inheritance(Utils::BootClock::now()));
   It.TookDuty();
   if (!FormerAddress.empty() && FormerAddress != Address)
     Holder->announce(FormerAddress);
--- a/src/libs/gateway/fleetpart.h
+++ b/src/libs/gateway/fleetpart.h
@@ -42,6 +42,8 @@
 
   FleetMember &member() { return Self; }
   bool isHolder() const { return Holder != nullptr; }
+  /// Gateways that the holder has told of; 0 before.
+  uint32_t members() const { return Self.members(); }
 
 private:
   void report();
@@ -49,6 +51,7 @@
   Utils::Milliseconds reportInterval() const;
   void send(const std::string &address, const FleetLink::Beat &beat);
   void takeBeat(const FleetLink::Beat &beat);
+  void considerHandover();
   void onDutyChange();
 
   Context It;
@@ -57,6 +60,7 @@
   DutyKeeper Duty;
   MemberLink Link;
   HttpIo::Timer ReportTimer;
+  uint8_t Strength;
   Utils::TimePoint ReportAt{};
   Utils::TimePoint ReportedAt{};
   /// When the newest reports were sent, by sequence.
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -51,6 +51,9 @@
   Utils::TimePoint KeysTrustedUntil{};
 
   Balance::RetryBudget &retryBudget(const std::string &service);
+
+private:
+  Balance::RetryBudget::Policy retryPolicy() const;
 };
 
 class Process {
--- a/src/libs/gateway/gatewaysettings.h
+++ b/src/libs/gateway/gatewaysettings.h
@@ -28,6 +28,9 @@
   bool FirstStart = false;
   /// Memory that the process may use.
   uint32_t MemoryMb = 0;
+  /// Processor time that it may use, in cores.
+  double Cores = 1;
+  double LinkMbps = 1000;
 
   // Bounds that the operators state, with the meaning that this project gives
   // them.
--- a/src/libs/gateway/holderengines.cpp
+++ b/src/libs/gateway/holderengines.cpp
@@ -5,7 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
-#include <utility>
+#include <set>
 
 namespace Gateway {
 
@@ -27,8 +27,14 @@
 /// How long a load from the store counts as under way before the engine has
 /// taken its order.
 constexpr milliseconds OrderUnderWay{1500};
-/// Shortest time between two plans; a burst of reports makes one.
+/// Calls a second of a replica that is to be unloaded from which all gateways
+/// are told before, and the time for that.
+constexpr double RateToAnnounce = 0.5;
+constexpr milliseconds AnnouncePause{40};
+/// Pause before a plan that nobody waits for.
 constexpr milliseconds PlanPause{250};
+/// Times the length of a plan that pass before the next one begins.
+constexpr int PlanTimeShare = 7;
 
 bool sameModels(const Place &place,
                 const std::vector<Fleet::ResidentModel> &models) {
@@ -97,31 +103,16 @@
     run->askReport();
 }
 
-namespace {
-
-/// What an endpoint's entry says beside its models.
-std::string listingOf(const Fleet::EndpointReport &report) {
-  bool draining = report.State == Fleet::EndpointState::Draining;
-  return report.Service + ' ' + report.Address + ' ' +
-         std::to_string(report.StartedUnixMs) + (draining ? " draining" : "");
-}
-
-} // namespace
-
 void FleetHolder::onEndpoint(const std::string &id) {
   if (const Fleet::Endpoint *endpoint = It.Known.endpoints().find(id)) {
-    std::string listing = listingOf(endpoint->Report);
-    if (std::exchange(Listed[id], listing) != listing)
-      changed(id);
     adoptEndpoint(*endpoint);
-    return;
+    return changed(id);
   }
   if (auto it = Runners.find(id); it != Runners.end()) {
     it->second->stop();
     Runners.erase(it);
   }
   Places.erase(id);
-  Listed.erase(id);
   changed(id);
 }
 
@@ -143,7 +134,45 @@
   changed(place.Id);
 }
 
-void FleetHolder::changed(const std::string &id) { Revisions[id] = ++Revision; }
+namespace {
+
+/// What an entry says, in one text that does not depend on when it is asked.
+std::string contentOf(const FleetLink::EndpointEntry &entry,
+                      const Place *place) {
+  if (entry.Gone)
+    return "gone";
+  std::string text = entry.Service + ' ' + entry.Address + ' ' +
+                     std::to_string(entry.StartedUnixMs) +
+                     (entry.Draining ? " draining" : "");
+  std::set<std::string> parts;
+  auto add = [&](const std::string &name, TimePoint readyAt) {
+    if (readyAt != Residency::Leaving)
+      parts.insert(name + '@' +
+                   std::to_string(readyAt.time_since_epoch().count()));
+  };
+  if (place)
+    for (const HeldModel &model : place->Models) {
+      add(model.Name, model.ReadyAt);
+      for (const auto &it : model.Adapters)
+        add(model.Name + '/' + it.Name, it.ReadyAt);
+    }
+  for (const std::string &it : parts)
+    text += ' ' + it;
+  return text;
+}
+
+} // namespace
+
+void FleetHolder::changed(const std::string &id, bool anew) {
+  auto place = Places.find(id);
+  std::string content =
+      contentOf(entryOf(id), place == Places.end() ? nullptr : &place->second);
+  std::string &known = Contents[id];
+  if (known == content && !anew)
+    return;
+  known = std::move(content);
+  Revisions[id] = ++Revision;
+}
 
 bool FleetHolder::fits(const std::string &id, const Order &order) const {
   auto it = Places.find(id);
@@ -296,25 +325,36 @@
                               [&](const auto &it) { return it.second > now; }));
 }
 
-void FleetHolder::planSoon() {
-  if (PlanDue)
+void FleetHolder::planSoon() { planAfter(PlanPause); }
+
+void FleetHolder::planAfter(Utils::Milliseconds pause) {
+  Utils::TimePoint at = std::max(Utils::BootClock::now() + pause, NoPlanBefore);
+  if (at >= PlanAt)
     return;
-  PlanDue = true;
-  PlanTimer.expires_after(PlanPause);
+  PlanAt = at;
+  PlanTimer.expires_at(at);
   PlanTimer.async_wait([this](const std::error_code &ec) {
     if (ec)
       return;
-    PlanDue = false;
+    PlanAt = Utils::TimePoint::max();
+    Utils::TimePoint begun = Utils::BootClock::now();
     planNow();
+    // The rest of the time is for callers and reports.
+    auto now = Utils::BootClock::now();
+    NoPlanBefore = now + (now - begun) * PlanTimeShare;
   });
 }
 
 void FleetHolder::planNow() {
   if (!mayAct())
     return;
+  std::map<uint32_t, uint32_t> loads;
   for (const FleetLink::EndpointCalls &it : fleetLoads())
-    if (auto place = Places.find(it.Endpoint); place != Places.end())
-      place->second.Load = it.Calls;
+    loads[it.Endpoint] = it.Calls;
+  for (auto &[id, place] : Places) {
+    auto load = loads.find(FleetLink::keyOf(id));
+    place.Load = load == loads.end() ? 0 : load->second;
+  }
   std::vector<Residency::Need> open = needs();
   Residency::Situation situation{
       Places,
@@ -364,7 +404,12 @@
     }
   }
   changed(place.Id);
-  runner(place.Id)->add(std::move(task));
+  // Calls that are sent to what is unloaded would be refused.
+  bool called = task.Orders.front().Rate > RateToAnnounce;
+  if (called)
+    tellAllSoon();
+  runner(place.Id)->add(std::move(task),
+                        called ? AnnouncePause : milliseconds(0));
 }
 
 } // namespace Gateway
--- a/src/libs/gateway/orderrunner.cpp
+++ b/src/libs/gateway/orderrunner.cpp
@@ -42,9 +42,11 @@
 OrderRunner::OrderRunner(std::shared_ptr<const Context> context, std::string id)
     : It(std::move(context)), Id(std::move(id)), Pause(It->Loop) {}
 
-void OrderRunner::add(Residency::Task task) {
+void OrderRunner::add(Residency::Task task, Utils::Milliseconds pause) {
   bool idle = isIdle();
   Tasks.push_back(std::move(task));
+  if (idle && pause.count() > 0)
+    return nextAfter(pause);
   if (idle)
     next();
 }
--- a/src/libs/gateway/orderrunner.h
+++ b/src/libs/gateway/orderrunner.h
@@ -39,7 +39,8 @@
 
   OrderRunner(std::shared_ptr<const Context> context, std::string id);
 
-  void add(Residency::Task task);
+  /// Begins after `pause`, unless another task is under way.
+  void add(Residency::Task task, Utils::Milliseconds pause);
   /// Reads the engine's report when no order is under way.
   void askReport();
   /// Forgets what is not sent yet; nothing is reported any more.
--- a/src/libs/gateway/process.cpp
+++ b/src/libs/gateway/process.cpp
@@ -10,9 +10,13 @@
 
 namespace {
 
-/// Part of the fleet's retry budget that a VM uses before it knows how many
-/// VMs share it. Sites have 7 and more of them.
-constexpr double RetryShareOfSlack = 0.05;
+/// Parts of the slack of the fleet's retry budget that all VMs together may
+/// have at hand, and get anew in each window; the rest is for calls and repeats
+/// that fall into different windows.
+constexpr double SlackAtHand = 0.5;
+constexpr double SlackAnew = 0.25;
+/// VMs that are assumed before the holder has told their number.
+constexpr uint32_t UnknownMembers = 100;
 /// Part of the allowed ratio that is used, for sends that are counted in a
 /// later window than their call.
 constexpr double RetryRatioUsed = 0.8;
@@ -32,12 +36,22 @@
   Waiting.OnAdded = [this] { Part.reportSoon(); };
 }
 
-Balance::RetryBudget &Shared::retryBudget(const std::string &service) {
+Balance::RetryBudget::Policy Shared::retryPolicy() const {
+  uint32_t members = Part.members();
+  double share = Settings.RetrySlack / (members > 0 ? members : UnknownMembers);
   Balance::RetryBudget::Policy policy;
   policy.Ratio = Settings.RetryRatio * RetryRatioUsed;
-  policy.Slack = std::max(1.0, Settings.RetrySlack * RetryShareOfSlack);
+  policy.MostAtHand = std::max(1.0, share * SlackAtHand);
+  policy.Slack = share * SlackAnew;
   policy.Window = Settings.RetryWindow;
-  return RetryBudgets.try_emplace(service, policy).first->second;
+  return policy;
+}
+
+Balance::RetryBudget &Shared::retryBudget(const std::string &service) {
+  auto policy = retryPolicy();
+  auto added = RetryBudgets.try_emplace(service, policy);
+  added.first->second.setPolicy(policy);
+  return added.first->second;
 }
 
 Process::Process(asio::io_context &loop, GatewaySettings settings,
@@ -168,17 +182,11 @@
 
 void Process::takeEntries(const FleetLink::Beat &beat) {
   Utils::TimePoint now = Utils::BootClock::now();
-  std::vector<std::string> ids;
-  for (const FleetLink::EndpointEntry &it : beat.Entries) {
-    if (it.Gone) {
+  for (const FleetLink::EndpointEntry &it : beat.Entries)
+    if (it.Gone)
       State.Known.removeEndpoint(it.Endpoint, now);
-      continue;
-    }
-    ids.push_back(it.Endpoint);
-    State.Known.takeReport(reportOf(it), now);
-  }
-  if (beat.Whole)
-    State.Known.retainEndpoints(ids, now);
+    else
+      State.Known.takeReport(reportOf(it), now);
 }
 
 bool Process::isReady() const {
--- a/src/libs/quota/quota.cpp
+++ b/src/libs/quota/quota.cpp
@@ -10,7 +10,8 @@
 /// Weight of a gateway's part in the demand against an equal part, in its share
 /// of the limit.
 constexpr double DemandWeight = 0.5;
-constexpr double NewestWeight = 0.2;
+/// Time in which the weight of a token in the demand falls to 1/e.
+constexpr double DemandSeconds = 2;
 /// Times its share of the level that a gateway may take until the next beat:
 /// demand moves between gateways.
 constexpr double ShareAhead = 2;
@@ -102,17 +103,44 @@
 }
 
 void Meter::hear(const Told &told, TimePoint now) {
-  double fleet = double(told.Fleet - Last.Fleet);
-  double own = double(told.Own - Last.Own);
-  double equal = 1.0 / std::max(1U, told.Members);
-  double part = fleet > 0 && own >= 0 ? std::min(1.0, own / fleet) : equal;
-  double share = DemandWeight * part + (1 - DemandWeight) * equal;
-  Share = Share * (1 - NewestWeight) + share * NewestWeight;
-  Last = told;
+  Share = told.Share;
   HeardAt = now;
   // What the holder has not counted yet is taken off its level.
   Fleet.setLevel(told.Level - double(Admitted - told.Own), now);
   divide(Fleet.level(now), now);
 }
 
+Ledger::Ledger(const Limit &limit, TimePoint now) : Fleet(limit, now) {}
+
+void Ledger::setLimit(const Limit &limit, TimePoint now) {
+  Fleet.setLimit(limit, now);
+}
+
+void Ledger::setLevel(double level, TimePoint now) {
+  Fleet.setLevel(level, now);
+}
+
+double Ledger::Recent::add(double tokens, TimePoint now) {
+  double passed = std::chrono::duration<double>(now - At).count();
+  Tokens = std::max(0.0, Tokens * std::exp(-passed / DemandSeconds) + tokens);
+  At = now;
+  return Tokens;
+}
+
+void Ledger::count(const std::string &gateway, double tokens, TimePoint now) {
+  Fleet.take(tokens, now);
+  All.add(tokens, now);
+  Gateways[gateway].add(tokens, now);
+}
+
+double Ledger::shareOf(const std::string &gateway, uint32_t gateways,
+                       TimePoint now) {
+  double equal = 1.0 / std::max(1U, gateways);
+  auto it = Gateways.find(gateway);
+  double own = it == Gateways.end() ? 0 : it->second.add(0, now);
+  double all = All.add(0, now);
+  double part = all < 1 ? equal : std::min(1.0, own / all);
+  return DemandWeight * part + (1 - DemandWeight) * equal;
+}
+
 } // namespace Quota
--- a/src/libs/quota/quota.h
+++ b/src/libs/quota/quota.h
@@ -9,7 +9,9 @@
 #include "utils/clock.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
+#include <string>
 
 namespace Quota {
 
@@ -45,13 +47,37 @@
   TimePoint FilledAt;
 };
 
-/// What the holder tells of a team.
+/// What the holder tells a gateway of a team.
 struct Told {
   double Level = 0;
-  /// Tokens of all gateways, and of this one, that the holder has counted.
-  int64_t Fleet = 0;
+  /// Tokens of the gateway that the level takes account of.
   int64_t Own = 0;
-  uint32_t Members = 1;
+  /// Part of the limit that the gateway may use by itself.
+  double Share = 0;
+};
+
+/// The holder's count of one team.
+class Ledger {
+public:
+  Ledger(const Limit &limit, TimePoint now);
+  void setLimit(const Limit &limit, TimePoint now);
+  void setLevel(double level, TimePoint now);
+  /// A gateway has admitted so many tokens more.
+  void count(const std::string &gateway, double tokens, TimePoint now);
+  double level(TimePoint now) { return Fleet.level(now); }
+  /// Share of a gateway among so many: half by demand, half alike.
+  double shareOf(const std::string &gateway, uint32_t gateways, TimePoint now);
+
+private:
+  /// Tokens of the last seconds.
+  struct Recent {
+    double Tokens = 0;
+    TimePoint At{};
+    double add(double tokens, TimePoint now);
+  };
+  Bucket Fleet;
+  Recent All;
+  std::map<std::string, Recent> Gateways;
 };
 
 /// The part of a gateway in the limit of one team. Between two beats it takes
@@ -88,7 +114,6 @@
   double Share;
   TimePoint HeardAt{};
   int64_t Admitted = 0;
-  Told Last;
 };
 
 } // namespace Quota
--- a/src/libs/residency/demand.cpp
+++ b/src/libs/residency/demand.cpp
@@ -10,6 +10,9 @@
 /// within 4 to 6 s; a rare model is called every 20 s.
 constexpr double MemorySeconds = 8;
 
+/// Count of a model that was called once four times the memory ago.
+constexpr double LeastCount = 0.02;
+
 double decay(TimePoint from, TimePoint to) {
   return std::exp(-std::chrono::duration<double>(to - from).count() /
                   MemorySeconds);
@@ -17,7 +20,7 @@
 
 } // namespace
 
-void Demand::note(const ModelKey &key, uint32_t calls, TimePoint now) {
+void Demand::note(const ModelKey &key, double calls, TimePoint now) {
   Use &use = Uses[key];
   use.Calls = use.Calls * decay(use.LastUsed, now) + calls;
   use.LastUsed = now;
@@ -35,4 +38,13 @@
   return it == Uses.end() ? TimePoint{} : it->second.LastUsed;
 }
 
+std::map<ModelKey, double> Demand::counts(TimePoint now) const {
+  std::map<ModelKey, double> out;
+  for (const auto &[key, use] : Uses)
+    if (double calls = use.Calls * decay(use.LastUsed, now);
+        calls >= LeastCount)
+      out[key] = calls;
+  return out;
+}
+
 } // namespace Residency
--- a/src/libs/residency/demand.h
+++ b/src/libs/residency/demand.h
@@ -31,10 +31,13 @@
 /// How often each model is called, as a moving average.
 class Demand {
 public:
-  void note(const ModelKey &key, uint32_t calls, TimePoint now);
+  void note(const ModelKey &key, double calls, TimePoint now);
   /// Calls a second; those long ago count little.
   double rate(const ModelKey &key, TimePoint now) const;
   TimePoint lastUsed(const ModelKey &key) const;
+  /// Calls of each model, those long ago counted as part of one; models that
+  /// are hardly called are left out.
+  std::map<ModelKey, double> counts(TimePoint now) const;
 
 private:
   struct Use {
--- a/src/libs/residency/places.cpp
+++ b/src/libs/residency/places.cpp
@@ -90,16 +90,6 @@
   return engine.MemoryMb - used;
 }
 
-uint32_t holders(const Places &places, const ModelKey &key) {
-  uint32_t n = 0;
-  for (const auto &[id, place] : places) {
-    const HeldModel *held =
-        place.Service == key.Service ? place.find(key.Model) : nullptr;
-    n += place.Usable && held && !held->isLeaving();
-  }
-  return n;
-}
-
 void noteCopies(Place &place, const Fleet::Engine &engine,
                 const std::string &model) {
   keepRecent(place.InMemory, model, engine, engine.HostMemoryMb);
--- a/src/libs/residency/places.h
+++ b/src/libs/residency/places.h
@@ -71,9 +71,6 @@
 /// Engine memory that the models leave free.
 double freeMb(const Place &place, const Fleet::Engine &engine);
 
-/// Usable places that hold the model or are about to.
-uint32_t holders(const Places &places, const ModelKey &key);
-
 /// A copy was loaded: the engine keeps it in memory and on disk.
 void noteCopies(Place &place, const Fleet::Engine &engine,
                 const std::string &model);
--- a/src/libs/residency/plan.cpp
+++ b/src/libs/residency/plan.cpp
@@ -5,6 +5,7 @@
 #include <optional>
 #include <set>
 #include <tuple>
+#include <unordered_map>
 
 namespace Residency {
 
@@ -13,6 +14,13 @@
 /// Seconds of waiting that unloading a model with calls under way adds: it
 /// waits for them to end.
 constexpr double RunsToWaitFor = 0.4;
+/// Part of the slots of a model's engines that calls take before another
+/// replica is loaded; the rest is for bursts in the time of a load.
+constexpr double FullShare = 0.5;
+/// Seconds of waiting that another replica is worth when all slots are taken.
+constexpr double FullGain = 1.5;
+/// Replicas that a model gets at once when many calls wait for it.
+constexpr uint32_t MostAtOnce = 4;
 /// Seconds ahead in which a call of an unloaded model counts as a loss. Places
 /// of the sites change their models about that often.
 constexpr double LossHorizon = 10;
@@ -33,7 +41,12 @@
 class Planner {
 public:
   explicit Planner(const Situation &situation)
-      : It(situation), StoreLoads(situation.StoreLoadsLeft) {}
+      : It(situation), StoreLoads(situation.StoreLoadsLeft) {
+    for (const auto &[id, place] : It.All)
+      for (const HeldModel &it : place.Models)
+        if (place.Usable && !it.isLeaving())
+          ++HoldersOf[{place.Service, it.Name}];
+  }
 
   std::vector<Task> run() {
     std::vector<Need> needs = It.Needs;
@@ -42,6 +55,7 @@
     });
     for (const Need &need : needs)
       serve(need);
+    relieve();
     for (const auto &[id, place] : It.All)
       fill(place);
     return std::move(Tasks);
@@ -52,9 +66,25 @@
     const Place *At = nullptr;
     CopySource From = CopySource::Store;
     std::vector<std::string> Victims;
+    /// Seconds of waiting that the victims are likely to cost.
+    double Loss = 0;
+    /// All seconds of waiting.
     double Cost = 0;
   };
 
+  /// Usable places that hold the model or are about to.
+  uint32_t holdersOf(const ModelKey &key) const {
+    auto it = HoldersOf.find(key);
+    return it == HoldersOf.end() ? 0 : it->second;
+  }
+
+  double rateOf(const ModelKey &key) const {
+    auto [it, added] = Rates.try_emplace(key, 0);
+    if (added)
+      it->second = It.Use.rate(key, It.Now);
+    return it->second;
+  }
+
   bool isFree(const Place &place) const {
     return place.Usable && place.Confirmed && !isBusy(place) &&
            Taken.count(place.Id) == 0;
@@ -74,13 +104,75 @@
         engine ? engine->findModel(need.Key.Model) : nullptr;
     if (!model)
       return;
-    if (holders(It.All, need.Key) > 0 || Planned.count(need.Key) > 0) {
+    if (holdersOf(need.Key) > 0 || Planned.count(need.Key) > 0) {
       if (!need.Adapter.empty())
         serveAdapter(need, *engine);
       return;
     }
-    if (auto option = bestOption(need.Key, *engine, *model, need.Calls))
+    uint32_t more = engine->Slots > 0 ? need.Calls / engine->Slots : 0;
+    uint32_t replicas = std::min(1 + more, MostAtOnce);
+    for (uint32_t n = 0; n < replicas; ++n) {
+      auto option = bestOption(need.Key, *engine, *model, need.Calls);
+      if (!option)
+        return;
       take(need.Key, *option);
+    }
+  }
+
+  /// Adds replicas of models whose engines are full: calls queue there, and are
+  /// refused once the queues are full, while other engines idle.
+  void relieve() {
+    std::vector<std::pair<double, ModelKey>> hot;
+    for (const auto &[key, load] : loadsOfModels())
+      if (const Fleet::Engine *engine = It.EngineOf(key.Service);
+          engine && engine->Slots > 0) {
+        double full = load / (double(holdersOf(key)) * engine->Slots);
+        if (full > FullShare)
+          hot.emplace_back(full, key);
+      }
+    std::sort(hot.rbegin(), hot.rend());
+    for (const auto &[full, key] : hot)
+      addReplicas(key, full);
+  }
+
+  void addReplicas(const ModelKey &key, double full) {
+    const Fleet::Engine &engine = *It.EngineOf(key.Service);
+    const Fleet::Model *model = engine.findModel(key.Model);
+    if (!model || Planned.count(key) > 0)
+      return;
+    uint32_t held = holdersOf(key);
+    uint32_t wanted = uint32_t(std::ceil(held * full / FullShare));
+    for (uint32_t n = held; n < std::min(wanted, 2 * held); ++n) {
+      auto option = bestOption(key, engine, *model, 1);
+      bool worth = option && option->From != CopySource::Store &&
+                   option->Loss < full * FullGain;
+      if (!worth)
+        return;
+      take(key, *option);
+    }
+  }
+
+  /// Calls of the model a second at each of its places.
+  double rateAt(const ModelKey &key) const {
+    uint32_t n = holdersOf(key);
+    return n == 0 ? 0 : rateOf(key) / n;
+  }
+
+  /// Calls under way by model: those of a place are divided among its models by
+  /// their rates.
+  std::map<ModelKey, double> loadsOfModels() const {
+    std::map<ModelKey, double> out;
+    for (const auto &[id, place] : It.All) {
+      double sum = 0;
+      for (const HeldModel &it : place.Models)
+        sum += rateAt({place.Service, it.Name});
+      for (const HeldModel &it : place.Models)
+        if (sum > 0 && place.Usable && !it.isLeaving()) {
+          ModelKey key{place.Service, it.Name};
+          out[key] += place.Load * rateAt(key) / sum;
+        }
+    }
+    return out;
   }
 
   std::optional<Option> bestOption(const ModelKey &key,
@@ -115,18 +207,20 @@
     std::vector<std::pair<double, const HeldModel *>> victims;
     for (const HeldModel &it : place.Models)
       if (!it.isLeaving() && it.ReadyAt <= It.Now)
-        victims.emplace_back(loss(place, engine, it), &it);
+        victims.emplace_back(lossOf(place, engine, it), &it);
     std::sort(victims.begin(), victims.end());
     for (const auto &[cost, victim] : victims) {
       if (room >= model.SizeMb)
         break;
       const Fleet::Model *known = engine.findModel(victim->Name);
       room += known ? known->SizeMb : 0;
-      out.Cost += cost;
+      out.Loss += cost;
       out.Victims.push_back(victim->Name);
     }
     if (room < model.SizeMb)
       return std::nullopt;
+    double full = engine.Slots > 0 ? double(place.Load) / engine.Slots : 0;
+    out.Cost += out.Loss + full;
     return out;
   }
 
@@ -138,7 +232,7 @@
     for (const HeldModel &it : place.Models) {
       const Fleet::Model *model = engine.findModel(it.Name);
       if (model && model->Adapters > 0)
-        rate += It.Use.rate({place.Service, it.Name}, It.Now);
+        rate += rateOf({place.Service, it.Name});
     }
     return rate * AdapterPart * seconds * seconds / 2;
   }
@@ -157,6 +251,14 @@
     return std::chrono::duration<double>(time).count();
   }
 
+  double lossOf(const Place &place, const Fleet::Engine &engine,
+                const HeldModel &held) const {
+    auto [it, added] = Losses.try_emplace(&held, 0);
+    if (added)
+      it->second = loss(place, engine, held);
+    return it->second;
+  }
+
   /// Seconds of waiting that callers are likely to see if the place holds the
   /// model no longer.
   double loss(const Place &place, const Fleet::Engine &engine,
@@ -165,11 +267,11 @@
     if (!model)
       return 0;
     ModelKey key{place.Service, held.Name};
-    double rate = It.Use.rate(key, It.Now);
+    double rate = rateOf(key);
     double reload = secondsOf(loadTime(*model, CopySource::Disk));
     double calledSoon = 1 - std::exp(-rate * LossHorizon);
     double cost = calledSoon * reload * (1 + rate * reload / 2);
-    if (holders(It.All, key) > 1)
+    if (holdersOf(key) > 1)
       cost *= SpareReplicaWeight;
     if (It.Now - It.Use.lastUsed(key) < AdapterInUse && place.Load > 0)
       cost += RunsToWaitFor;
@@ -178,9 +280,12 @@
 
   void take(const ModelKey &key, const Option &option) {
     Task task{option.At->Id, {}};
-    for (const std::string &it : option.Victims)
-      task.Orders.push_back({Change::UnloadModel, it, "", option.From});
-    task.Orders.push_back({Change::LoadModel, key.Model, "", option.From});
+    for (const std::string &it : option.Victims) {
+      ModelKey victim{key.Service, it};
+      double rate = rateOf(victim) / std::max(1U, holdersOf(victim));
+      task.Orders.push_back({Change::UnloadModel, it, "", option.From, rate});
+    }
+    task.Orders.push_back({Change::LoadModel, key.Model, "", option.From, 0});
     if (option.From == CopySource::Store)
       --StoreLoads;
     Taken.insert(option.At->Id);
@@ -261,7 +366,7 @@
         if (it.LastUsed < oldest && it.ReadyAt <= It.Now) {
           oldest = it.LastUsed;
           out = Order{Change::UnloadAdapter, model.Name, it.Name,
-                      CopySource::Store};
+                      CopySource::Store, 0};
         }
     return out;
   }
@@ -284,7 +389,7 @@
     }
     if (best)
       take({place.Service, best->Name},
-           {&place, sourceOf(place, best->Name), {}, 0});
+           {&place, sourceOf(place, best->Name), {}, 0, 0});
   }
 
   double fillValue(const Place &place, const Fleet::Model &model) const {
@@ -294,8 +399,8 @@
     CopySource source = sourceOf(place, model.Name);
     if (source == CopySource::Store && StoreLoads <= KeptForNeeds)
       return 0;
-    uint32_t others = holders(It.All, key);
-    double rate = It.Use.rate(key, It.Now);
+    uint32_t others = holdersOf(key);
+    double rate = rateOf(key);
     double value = 0;
     if (others == 0)
       value = rate;
@@ -305,6 +410,9 @@
   }
 
   const Situation &It;
+  std::map<ModelKey, uint32_t> HoldersOf;
+  mutable std::map<ModelKey, double> Rates;
+  mutable std::unordered_map<const HeldModel *, double> Losses;
   uint32_t StoreLoads;
   std::vector<Task> Tasks;
   std::set<std::string> Taken;
--- a/src/libs/residency/plan.h
+++ b/src/libs/residency/plan.h
@@ -24,6 +24,8 @@
   std::string Model;
   std::string Adapter;
   CopySource From = CopySource::Disk;
+  /// Calls a second that are likely to be on their way to what is unloaded.
+  double Rate = 0;
 };
 
 /// Orders for one place, to be carried out one after the other.
--- a/tests/auto/balance/tst_balance.cpp
+++ b/tests/auto/balance/tst_balance.cpp
@@ -138,7 +138,7 @@
 
 TEST_CASE("retry budget allows the ratio and the slack, and no more in a "
           "window") {
-  RetryBudget budget({0.2, 5, 10s});
+  RetryBudget budget({0.2, 5, 5, 10s});
   Utils::TimePoint now{1h};
   int taken = 0;
   for (int i = 0; i < 1000; ++i) { // 100 calls a second, each failing.
@@ -149,3 +149,25 @@
   CHECK(taken <= 0.2 * 1000 + 2 * 5);
   CHECK(taken >= 0.2 * 1000);
 }
+
+TEST_CASE("many gateways with few calls each stay within the budget of all") {
+  constexpr int gateways = 91;
+  constexpr double slack = 222;
+  std::vector<RetryBudget> budgets(
+      gateways,
+      RetryBudget({0.16, slack / gateways / 2, slack / gateways / 4, 10s}));
+  Utils::TimePoint now{1h};
+  int taken = 0;
+  int calls = 0;
+  for (int i = 0; i < 1000; ++i) { // 10 s, in which every call is refused.
+    for (int n = 0; n < 4; ++n, ++calls) {
+      RetryBudget &it = budgets[size_t(i * 4 + n) % gateways];
+      it.firstSend(now);
+      for (int again = 0; again < 3; ++again)
+        taken += it.takeRepeat(now);
+    }
+    now += 10ms;
+  }
+  CHECK(taken <= 0.2 * calls + slack);
+  CHECK(taken > 0.1 * calls);
+}
--- a/tests/auto/duty/tst_duty.cpp
+++ b/tests/auto/duty/tst_duty.cpp
@@ -25,14 +25,14 @@
   }
   Step next() const { return nextStep(It, Agreed, Now); }
   void read(std::optional<Record> newest, uint64_t end) {
-    begin(It, Agreed, Now);
+    begin(It, Agreed, Step::Read, Now);
     noteRead(It, std::move(newest), end, Now);
-    Now += Agreed.ReadEvery;
+    Now += Agreed.CallEvery;
   }
   void claim() {
-    begin(It, Agreed, Now);
+    begin(It, Agreed, Step::Claim, Now);
     noteAccepted(It, Agreed, recordFor(It, Step::Claim), It.End + 1, Now);
-    Now += Agreed.ReadEvery;
+    Now += Agreed.CallEvery;
   }
   Record other(int64_t token) const {
     return {"b", "10.0.0.2:1", token, false};
@@ -86,7 +86,7 @@
   read(std::nullopt, 0);
   claim();
   TimePoint until = It.HeldUntil;
-  begin(It, Agreed, Now);
+  begin(It, Agreed, Step::Renew, Now);
   noteFailed(It, Agreed, Now);
   Now += Agreed.RetryAfter;
   CHECK(next() == Step::Read);
@@ -116,13 +116,39 @@
   claim();
   It.GivingUp = true;
   CHECK(next() == Step::Release);
-  begin(It, Agreed, Now);
+  begin(It, Agreed, Step::Release, Now);
   noteAccepted(It, Agreed, recordFor(It, Step::Release), It.End + 1, Now);
   Now += 10s;
   CHECK_FALSE(holds(It, Now));
   CHECK(next() == Step::Wait);
 }
 
+TEST_CASE_FIXTURE(One, "weaker VM leaves a free duty to a stronger one for a "
+                       "while") {
+  It.ClaimDelay = 1s;
+  read(std::nullopt, 0);
+  TimePoint learned = It.RenewedBy;
+  Now = learned + 999ms;
+  CHECK(next() == Step::Wait);
+  Now = learned + 1s;
+  CHECK(next() == Step::Claim);
+}
+
+TEST_CASE_FIXTURE(One, "holder that hands over releases the duty, and may hold "
+                       "it again later") {
+  read(std::nullopt, 0);
+  claim();
+  It.HandingOver = true;
+  CHECK(next() == Step::Release);
+  begin(It, Agreed, Step::Release, Now);
+  noteAccepted(It, Agreed, recordFor(It, Step::Release), It.End + 1, Now);
+  CHECK_FALSE(holds(It, Now));
+  It.ClaimDelay = 1s;
+  CHECK(next() == Step::Wait);
+  Now += 2s;
+  CHECK(next() == Step::Claim);
+}
+
 TEST_CASE_FIXTURE(One, "new process of the holder's VM claims at once with a "
                        "new token") {
   read(Record{"a", "10.0.0.1:1", 7, false}, 9);
@@ -161,7 +187,7 @@
     Record record = recordFor(vm.It, step);
     uint64_t at = vm.It.End;
     TimePoint sentAt = Now;
-    begin(vm.It, Agreed, Now);
+    begin(vm.It, Agreed, step, Now);
     uint64_t call = ++Calls;
     Open[&vm] = call;
     auto effect = [this, &vm, record, at, sentAt, call] {
@@ -189,7 +215,7 @@
 
   void read(Vm &vm) {
     TimePoint sentAt = Now;
-    begin(vm.It, Agreed, Now);
+    begin(vm.It, Agreed, Step::Read, Now);
     uint64_t call = ++Calls;
     Open[&vm] = call;
     if (!chance(LostPercent))
--- a/tests/auto/fleetlink/tst_fleetlink.cpp
+++ b/tests/auto/fleetlink/tst_fleetlink.cpp
@@ -14,7 +14,7 @@
   out.Address = "10.0.0.1:7600";
   out.Incarnation = 5;
   out.Sequence = 6;
-  out.Teams = {{"kitchen", -3}};
+  out.Teams = {{keyOf("kitchen"), -3}};
   out.Waiting = {{"s", "m", "a1", 2, 400}};
   out.Bounces = {{"i-1", "m", ""}};
   return out;
@@ -24,13 +24,13 @@
   Beat out;
   out.Holder = "vm";
   out.Token = 9;
-  out.Teams = {{"kitchen", -100, 7, 3}};
+  out.Teams = {{keyOf("kitchen"), -100, 3}};
   EndpointEntry entry;
   entry.Endpoint = "i-1";
   entry.Address = "10.0.0.9:80";
   entry.Models = {{"m", 0, {{"a1", 15}}}};
   out.Entries = {entry};
-  out.Loads = {{"i-1", 4}};
+  out.Loads = {{keyOf("i-1"), 4}};
   return out;
 }
 
--- a/tests/auto/quota/tst_quota.cpp
+++ b/tests/auto/quota/tst_quota.cpp
@@ -18,8 +18,7 @@
   std::vector<Meter> Meters;
   std::vector<int64_t> Counted;
   std::vector<bool> Reachable;
-  Bucket Level{Allowed, Now};
-  int64_t Fleet = 0;
+  Ledger Book{Allowed, Now};
   /// Tokens admitted in each step.
   std::deque<double> Steps;
   double Refused = 0;
@@ -30,15 +29,15 @@
         Reachable(n, true) {}
 
   void beat() {
-    for (size_t i = 0; i < Meters.size(); ++i) {
+    uint32_t n = uint32_t(Meters.size());
+    for (size_t i = 0; i < n; ++i) {
       if (!Reachable[i])
         continue;
-      int64_t fresh = Meters[i].admitted() - Counted[i];
-      Level.take(double(fresh), Now);
-      Fleet += fresh;
-      Counted[i] += fresh;
-      Meters[i].hear(
-          {Level.level(Now), Fleet, Counted[i], uint32_t(Meters.size())}, Now);
+      std::string name = std::to_string(i);
+      Book.count(name, double(Meters[i].admitted() - Counted[i]), Now);
+      Counted[i] = Meters[i].admitted();
+      Meters[i].hear({Book.level(Now), Counted[i], Book.shareOf(name, n, Now)},
+                     Now);
     }
   }
   /// Each gateway i is asked for perSecond[i] tokens a second, in calls of 10.
@@ -132,7 +131,7 @@
           "time to come back") {
   TimePoint now{1h};
   Meter meter({1000, 2000, 0}, 2000, now);
-  meter.hear({2000, 0, 0, 8}, now);
+  meter.hear({2000, 0, 0.5}, now);
   meter.setLimit({100, 200, 0}, now);
   CHECK_FALSE(meter.refusal(200, now));
   auto comeBack = meter.refusal(50, now);
@@ -143,7 +142,7 @@
 TEST_CASE("call larger than the burst is admitted when the bucket is full") {
   TimePoint now{1h};
   Meter meter({100, 200, 0}, 200, now);
-  meter.hear({200, 0, 0, 8}, now);
+  meter.hear({200, 0, 0.5}, now);
   CHECK_FALSE(meter.refusal(1000, now));
   CHECK(meter.refusal(1, now));
 }
@@ -151,7 +150,7 @@
 TEST_CASE("tokens of a call that did not run are there again") {
   TimePoint now{1h};
   Meter meter({100, 200, 0}, 200, now);
-  meter.hear({200, 0, 0, 8}, now);
+  meter.hear({200, 0, 0.5}, now);
   CHECK_FALSE(meter.refusal(200, now));
   CHECK(meter.refusal(200, now));
   meter.giveBack(200, now);
@@ -173,7 +172,7 @@
   // Nobody knows any longer what was given; the new holder neither.
   Meters.assign(8, Meter(Allowed, 0, Now));
   Counted.assign(8, 0);
-  Level.setLevel(0, Now);
+  Book.setLevel(0, Now);
   run(8s, std::vector<double>(8, 1000));
   CHECK(mostInWindow(EightSeconds) <=
         (8 * Allowed.Rate + Allowed.Burst) * 1.1 + 2000);
--- a/tests/auto/residency/tst_residency.cpp
+++ b/tests/auto/residency/tst_residency.cpp
@@ -23,6 +23,7 @@
     Engine.AdapterSlots = 2;
     for (int i = 0; i < 12; ++i)
       Engine.Models.push_back({"m" + std::to_string(i), 70, 6s, 1s, 400ms, 4});
+    Engine.index();
   }
   Place &place(const std::string &id, std::vector<std::string> models) {
     Place &it = All[id];
--- a/tests/auto/sitewire/tst_sitewire.cpp
+++ b/tests/auto/sitewire/tst_sitewire.cpp
@@ -201,11 +201,11 @@
 }
 
 TEST_CASE("order names the fence, the orders before it and the adapter") {
-  Residency::Order order{Residency::Change::LoadAdapter, "m", "a3", {}};
+  Residency::Order order{Residency::Change::LoadAdapter, "m", "a3", {}, 0};
   json body = json::parse(encodeOrder(order, {"vm", 41, 2}));
   CHECK(body == json::parse(R"({"operation":"load","model":"m","adapter":"a3",
     "holder":"vm","fencing_token":41,"precondition":2})"));
-  order = {Residency::Change::UnloadModel, "m", "", {}};
+  order = {Residency::Change::UnloadModel, "m", "", {}, 0};
   body = json::parse(encodeOrder(order, {"vm", 41, 2}));
   CHECK(body["operation"] == "unload");
   CHECK_FALSE(body.contains("adapter"));
@@ -248,7 +248,7 @@
     "zone":"z","listen_addresses":{"front":"10.0.0.1:1","ready":"10.0.0.1:2"},
     "internal_port_range":[7600,7615],"heartbeat_interval_ms":1200,
     "bootstrap":false,
-    "limits":{"memory_mb":260},"platform":{"address":"10.0.0.2:3"},
+    "limits":{"memory_mb":260,"cpu_share":0.25,"cores":2,"link_mbps":10.0},"platform":{"address":"10.0.0.2:3"},
     "bounds":{"grace_s":8,"revoke_ms":5000,"drain_ms":2000,"lease_ms":3000,
     "thaw_slack_ms":300,"retry_budget_ratio":0.2,"budget_window_s":10,
     "retry_budget_slack":56,"quota_window_s":8,"quota_overshoot":0.1,
@@ -257,6 +257,7 @@
   REQUIRE(settings);
   CHECK(settings->StopGrace == 8s);
   CHECK(settings->FirstInternalPort == 7600);
+  CHECK(settings->Cores == 0.5);
   text["bounds"].erase("revoke_ms");
   settings = decodeSettings(text.dump());
   REQUIRE_FALSE(settings);
