Explain a gateway's calls from its log, and serve metrics

Cause: explain knew the daemon's lines only; a call's line did not say what its decisions were made from; gateways had no metrics.

A holder that starts anew waits for what is called, also after all were killed: explain showed it unloading a model in use.

--- a/src/app/commandline.cpp
+++ b/src/app/commandline.cpp
@@ -9,6 +9,8 @@
           "who makes the edit; the login name if empty");
 ABSL_FLAG(std::string, admin, "", "admin address IP:PORT of a daemon");
 ABSL_FLAG(std::string, id, "", "explain: id of the request");
+ABSL_FLAG(uint16_t, metrics_port, 9464,
+          "gateway: port of the VM's address for metrics; 0 for none");
 ABSL_FLAG(bool, json, false, "print JSON for programs");
 ABSL_FLAG(bool, delete_missing, false,
           "import: delete rows that the sheet leaves out");
@@ -20,7 +22,7 @@
 const std::vector<Command> &commands() {
   static const std::vector<Command> table = {
       {"serve", "serve --settings FILE", "run a daemon", runServe},
-      {"gateway", "gateway",
+      {"gateway", "gateway [--metrics_port N]",
        "run on a VM of the platform, with the settings file that "
        "HICKORYSPRING_CONFIG names",
        runGateway},
@@ -53,6 +55,7 @@
     return helpText("");
   return "usage:\n" + text +
          "flags: --settings --table --actor --admin --id --json "
+         "--metrics_port "
          "--delete_missing "
          "--reference\n"
          "exit codes: 0 done, 1 refused or faulty, 2 wrong usage, 3 no "
--- a/src/app/gatewaycommand.cpp
+++ b/src/app/gatewaycommand.cpp
@@ -7,6 +7,7 @@
 #include "platform/systemsettings.h"
 #include "utils/utils.h"
 
+#include <absl/flags/flag.h>
 #include <asio/io_context.hpp>
 #include <csignal>
 #include <cstdlib>
@@ -27,6 +28,7 @@
     std::cerr << "hickoryspring: " << settings.error().What << '\n';
     return ExitCode::Refused;
   }
+  settings.value().MetricsPort = absl::GetFlag(FLAGS_metrics_port);
   std::signal(SIGPIPE, SIG_IGN);
   std::signal(SIGHUP, SIG_IGN);
   Utils::EventLog log(STDOUT_FILENO, settings->VmName);
--- a/src/libs/explain/causes.cpp
+++ b/src/libs/explain/causes.cpp
@@ -1,5 +1,7 @@
 #include "explain/causes.h"
 
+#include "explain/gatewaycauses.h"
+
 namespace Explain::Internal {
 
 namespace {
@@ -226,6 +228,8 @@
 const LogLine *Evidence::outcome() const {
   if (const LogLine *it = last("request"))
     return it;
+  if (const LogLine *it = last("call_ended"))
+    return it;
   return last("refused_at_door");
 }
 
@@ -236,6 +240,8 @@
   if (!outcome)
     return "the request has no outcome in these logs: its daemon died while it "
            "ran, or the line was suppressed";
+  if (outcome->Event == "call_ended")
+    return gatewayCause(evidence, *outcome);
   if (!outcome->field("reason").empty())
     return refusalCause(evidence, *outcome);
   return answeredCause(evidence, *outcome);
--- a/src/libs/explain/explain.cpp
+++ b/src/libs/explain/explain.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 /// Events that change what a daemon believes or can reach.
-constexpr std::array<std::string_view, 18> BackgroundEvents = {
+constexpr std::array<std::string_view, 27> BackgroundEvents = {
     "started",
     "stopping",
     "leaving_balancer",
@@ -30,14 +30,34 @@
     "order_outcome_lost",
     "lines_suppressed",
     "lines_dropped",
-    "endpoint_change"};
+    "endpoint_change",
+    "configuration_applied",
+    "configuration_unreadable",
+    "duty_taken",
+    "duty_lost",
+    "duty_handed_over",
+    "endpoint_changed",
+    "endpoint_gone",
+    "engine_lost",
+    "stop_signal"};
+/// Events of any gateway that tell what became of a model.
+constexpr std::array<std::string_view, 3> ModelEvents = {
+    "order_decided", "order_answered", "task_dropped"};
 /// Enough for the rounds of a lease and of a new limits holder.
 constexpr absl::Duration BackgroundTime = absl::Seconds(15);
 constexpr size_t MaxBackground = 20;
 
-bool isBackground(const LogLine &line) {
-  return std::find(BackgroundEvents.begin(), BackgroundEvents.end(),
-                   line.Event) != BackgroundEvents.end();
+template <typename List>
+bool contains(const List &list, const std::string &event) {
+  return std::find(list.begin(), list.end(), event) != list.end();
+}
+
+/// Whether the line tells of a change behind the outcome that `end` tells.
+bool isBackground(const LogLine &line, const LogLine &end) {
+  if (line.Daemon == end.Daemon && contains(BackgroundEvents, line.Event))
+    return true;
+  return contains(ModelEvents, line.Event) && !end.field("model").empty() &&
+         line.field("model") == end.field("model");
 }
 
 /// Nothing for a line whose time cannot be read.
@@ -73,7 +93,7 @@
   std::vector<LogLine> lines;
   auto endedAt = timeOf(end);
   for (const LogLine &it : all) {
-    if (!isBackground(it) || it.Daemon != end.Daemon)
+    if (!isBackground(it, end))
       continue;
     auto at = timeOf(it);
     if (endedAt && at && *at <= *endedAt && *endedAt - *at <= BackgroundTime)
--- a/src/libs/gateway/call.cpp
+++ b/src/libs/gateway/call.cpp
@@ -119,6 +119,7 @@
 
 void Call::refuse(unsigned status, std::string_view reason,
                   std::optional<Utils::Milliseconds> comeBack) {
+  ComeBack = comeBack;
   Caller->respond(State.Wire.Calls.Answer(status, Facts.Id, comeBack), "");
   finish(reason, status);
 }
@@ -131,6 +132,17 @@
     State.Part.member().giveBack(Team->Name, TokensTaken, ArrivedAt);
   DeadlineTimer.cancel();
   Caller->OnGone = nullptr;
+  double seconds =
+      std::chrono::duration<double>(Utils::BootClock::now() - ArrivedAt)
+          .count();
+  State.Numbers.add("hickory_gateway_calls_total",
+                    "outcome=\"" + std::string(outcome) + "\"");
+  State.Numbers.observe("hickory_gateway_call_seconds", seconds);
+  logEnd(outcome, status);
+}
+
+void Call::logEnd(std::string_view outcome, unsigned status) {
+  Utils::TimePoint now = Utils::BootClock::now();
   Utils::Event event("call_ended");
   event.with("id", Facts.Id)
       .with("outcome", outcome)
@@ -138,11 +150,23 @@
       .with("route", Route ? Route->Name : "")
       .with("team", Team ? Team->Name : "")
       .with("model", Facts.Model)
+      .with("adapter", Facts.Adapter)
       .with("endpoint", EndpointId)
       .with("sends", Sends)
       .with("runs", RunsBegun)
       .with("version", Configuration ? Configuration->Version : 0)
-      .with("ms", Utils::msBetween(ArrivedAt, Utils::BootClock::now()));
+      .with("ms", Utils::msBetween(ArrivedAt, now));
+  if (Team)
+    event.with("tokens", int64_t(tokens()));
+  if (Sends > 0)
+    event.with("candidates", Candidates).with("load", ChosenLoad);
+  if (Waited.count() > 0)
+    event.with("waited_ms", Waited.count());
+  if (ComeBack)
+    event.with("retry_after_ms", ComeBack->count());
+  if (Sends == 0)
+    event.with("keys_age_ms", Utils::msBetween(State.KeysReadAt, ArrivedAt))
+        .with("left_ms", Utils::msBetween(now, Deadline));
   event.info();
 }
 
--- a/src/libs/gateway/call.h
+++ b/src/libs/gateway/call.h
@@ -52,6 +52,7 @@
   void refuse(unsigned status, std::string_view reason,
               std::optional<Utils::Milliseconds> comeBack = std::nullopt);
   void finish(std::string_view outcome, unsigned status);
+  void logEnd(std::string_view outcome, unsigned status);
   bool streams() const;
   void beginStream();
 
@@ -80,8 +81,12 @@
   /// Events that the caller has got whole, by the id of the last.
   std::string LastEventId;
   std::set<std::string> Tried;
-  /// No endpoint is looked for before then.
-  Utils::TimePoint WaitUntil{};
+  // What the newest decisions on the call were made from, for its line.
+  size_t Candidates = 0;
+  uint32_t ChosenLoad = 0;
+  Utils::TimePoint WaitingSince{};
+  Utils::Milliseconds Waited{0};
+  std::optional<Utils::Milliseconds> ComeBack;
   double TokensTaken = 0;
   uint32_t Sends = 0;
   uint32_t RunsBegun = 0;
--- a/src/libs/gateway/callsend.cpp
+++ b/src/libs/gateway/callsend.cpp
@@ -98,6 +98,8 @@
   auto chosen = Balance::choose(candidates, State.Random);
   if (!chosen)
     return std::nullopt;
+  Candidates = candidates.size();
+  ChosenLoad = candidates[*chosen].Load;
   return able[*chosen]->Report.Id;
 }
 
@@ -119,18 +121,32 @@
   auto id = pickEndpoint();
   if (!id)
     return false;
+  if (WaitingSince != Utils::TimePoint{})
+    Waited += std::chrono::duration_cast<Utils::Milliseconds>(
+        SentAt - std::exchange(WaitingSince, {}));
   if (Sends == 0)
     State.retryBudget(Service).firstSend(SentAt);
   send(*State.Known.endpoints().find(*id));
   return true;
 }
 
-void Call::wait() { State.Waiting.add(weak_from_this()); }
+void Call::wait() {
+  WaitingSince = SentAt;
+  Utils::Event("call_waiting")
+      .with("id", Facts.Id)
+      .with("model", Facts.Model)
+      .with("adapter", Facts.Adapter)
+      .with("left_ms", Utils::msBetween(SentAt, Deadline))
+      .with("led", State.Part.member().isLed(SentAt))
+      .with("holder_token", State.Part.member().token())
+      .info();
+  State.Waiting.add(weak_from_this());
+}
 
 bool Call::keepWaiting() {
-  if (Done)
-    return false;
-  return Utils::BootClock::now() < WaitUntil || !tryDispatch();
+  if (Done || !tryDispatch())
+    return !Done;
+  return false;
 }
 
 FleetLink::WaitingCalls Call::waitingFor(Utils::TimePoint now) const {
@@ -192,9 +208,13 @@
   NotRun = reply.NotRun;
   HeadIsAnswer = reply.Genuine && !NotRun;
   Head = head;
-  if (HeadIsAnswer)
+  if (HeadIsAnswer) {
+    auto took = Utils::BootClock::now() - SentAt;
     State.Board.answering(
-        EndpointId, double(Utils::msBetween(SentAt, Utils::BootClock::now())));
+        EndpointId, std::chrono::duration<double, std::milli>(took).count());
+    State.Numbers.observe("hickory_gateway_first_byte_seconds",
+                          std::chrono::duration<double>(took).count());
+  }
   return HttpIo::HeadVerdict::Accept;
 }
 
@@ -291,6 +311,8 @@
   bool inBudget = inTime && State.retryBudget(Service).takeRepeat(now);
   progress.TimeLeft = inBudget;
   Balance::NextStep next = Balance::afterFailure(progress);
+  State.Numbers.add("hickory_gateway_sends_failed_total",
+                    "end=\"" + std::string(Balance::sendEndName(end)) + "\"");
   Utils::Event("send_failed")
       .with("id", Facts.Id)
       .with("endpoint", EndpointId)
--- a/src/libs/gateway/fleetholder.cpp
+++ b/src/libs/gateway/fleetholder.cpp
@@ -83,7 +83,7 @@
   for (const auto &[id, content] : Contents)
     if (Revisions.count(id) == 0)
       Revisions[id] = ++Revision;
-  if (goesOn)
+  if (!It.Settings.FirstStart)
     NoPlanBefore = StartedAt + DemandSettle;
 }
 
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include "gateway/view.h"
 #include "gateway/waitingroom.h"
 #include "httpio/httpio.h"
+#include "metrics/metrics.h"
 
 #include <asio/signal_set.hpp>
 #include <map>
@@ -38,6 +39,7 @@
   HttpIo::ClientPool Connections;
   View Known;
   Balance::EndpointBoard Board;
+  Metrics::Registry Numbers;
   WaitingRoom Waiting;
   FleetPart Part;
   std::map<std::string, Balance::RetryBudget> RetryBudgets;
@@ -47,6 +49,8 @@
   std::function<void()> TookDuty;
   std::function<ReadFacts()> HasRead;
   std::function<void(const FleetLink::Beat &, Utils::TimePoint)> Told;
+  /// When the keys were complete.
+  Utils::TimePoint KeysReadAt{};
   /// Keys are known to be valid until then.
   Utils::TimePoint KeysTrustedUntil{};
 
@@ -70,6 +74,7 @@
   Utils::Status listen();
   void onCallerRequest(const HttpIo::CallerConnectionRef &, Http::Request);
   void onReadinessRequest(const HttpIo::CallerConnectionRef &caller);
+  void onMetricsRequest(const HttpIo::CallerConnectionRef &caller);
   void onTold(const FleetLink::Beat &beat, Utils::TimePoint askedAt);
   void takeEntries(const FleetLink::Beat &beat);
   void applyLimits();
@@ -82,8 +87,10 @@
   Shared State;
   std::shared_ptr<HttpIo::ServerPolicy> CallerPolicy;
   std::shared_ptr<HttpIo::ServerPolicy> ReadinessPolicy;
+  std::shared_ptr<HttpIo::ServerPolicy> MetricsPolicy;
   HttpIo::Listener Callers;
   HttpIo::Listener Readiness;
+  HttpIo::Listener MetricsPort;
   TopicFeed Configurations;
   TopicFeed Endpoints;
   asio::signal_set Signals;
--- a/src/libs/gateway/gatewaysettings.h
+++ b/src/libs/gateway/gatewaysettings.h
@@ -20,6 +20,8 @@
   std::string CallerAddress;
   /// IP:PORT where the balancer asks whether the VM takes callers.
   std::string ReadinessAddress;
+  /// Port of the VM's address where metrics are read; 0 for none.
+  uint16_t MetricsPort = 0;
   /// First port that is free for traffic between VMs.
   uint16_t FirstInternalPort = 0;
   /// IP:PORT of the platform's metadata store.
--- a/src/libs/gateway/process.cpp
+++ b/src/libs/gateway/process.cpp
@@ -59,7 +59,9 @@
     : Loop(loop), State(loop, std::move(settings), std::move(outside)),
       CallerPolicy(std::make_shared<HttpIo::ServerPolicy>()),
       ReadinessPolicy(std::make_shared<HttpIo::ServerPolicy>()),
+      MetricsPolicy(std::make_shared<HttpIo::ServerPolicy>()),
       Callers(loop, CallerPolicy), Readiness(loop, ReadinessPolicy),
+      MetricsPort(loop, MetricsPolicy),
       Configurations(loop, State.Wire.PlatformStore,
                      {Topic::Operators, ConfigurationPatience, {}},
                      [this](const auto &records, bool) {
@@ -102,6 +104,9 @@
                                       const Http::Request &) {
     onReadinessRequest(caller);
   };
+  MetricsPolicy->OnRequest = [this](const auto &caller, const Http::Request &) {
+    onMetricsRequest(caller);
+  };
 }
 
 Utils::Status Process::listen() {
@@ -118,6 +123,12 @@
   };
   if (auto status = open(Callers, State.Settings.CallerAddress); !status)
     return status;
+  if (State.Settings.MetricsPort > 0)
+    if (auto status =
+            open(MetricsPort, State.Settings.IpAddress + ":" +
+                                  std::to_string(State.Settings.MetricsPort));
+        !status)
+      return status;
   return open(Readiness, State.Settings.ReadinessAddress);
 }
 
@@ -200,10 +211,32 @@
   caller->respond({isReady() ? ok : unavailable, "", {}}, "");
 }
 
+void Process::onMetricsRequest(const HttpIo::CallerConnectionRef &caller) {
+  Utils::TimePoint now = Utils::BootClock::now();
+  Metrics::Registry &numbers = State.Numbers;
+  numbers.set("hickory_gateway_open_connections",
+              double(Callers.connections()));
+  numbers.set("hickory_gateway_members", State.Part.members());
+  numbers.set("hickory_gateway_holds_duty", State.Part.isHolder());
+  numbers.set(
+      "hickory_gateway_configuration_age_seconds",
+      std::chrono::duration<double>(now - Configurations.completeUntil())
+          .count());
+  numbers.set(
+      "hickory_gateway_endpoints_age_seconds",
+      std::chrono::duration<double>(now - Endpoints.completeUntil()).count());
+  numbers.set("hickory_gateway_endpoints",
+              double(State.Known.endpoints().all().size()));
+  Http::ResponseHead head{200, "", {}};
+  head.Headers.add("Content-Type", "text/plain; version=0.0.4");
+  caller->respond(head, numbers.text());
+}
+
 void Process::onCallerRequest(const HttpIo::CallerConnectionRef &caller,
                               Http::Request request) {
+  State.KeysReadAt = Configurations.completeUntil();
   State.KeysTrustedUntil =
-      Configurations.completeUntil() + State.Settings.KeyWithdrawal - KeyMargin;
+      State.KeysReadAt + State.Settings.KeyWithdrawal - KeyMargin;
   std::make_shared<Call>(State, caller, std::move(request))->start();
 }
 
--- a/tests/auto/explain/tst_explain.cpp
+++ b/tests/auto/explain/tst_explain.cpp
@@ -216,3 +216,99 @@
   add("d0", Utils::Event("admitted").with("id", "r1"));
   tells("r1", "no outcome in these logs");
 }
+
+namespace {
+
+struct GatewayLogs : Logs {
+  static Utils::Event ended(const std::string &outcome, int status) {
+    return Utils::Event("call_ended")
+        .with("id", "r")
+        .with("outcome", outcome)
+        .with("status", status)
+        .with("team", "kitchen")
+        .with("model", "m")
+        .with("endpoint", "i-1")
+        .with("ms", 42);
+  }
+  void addWaiting(const std::string &adapter, int led) {
+    add("g1", Utils::Event("call_waiting")
+                  .with("id", "r")
+                  .with("model", "m")
+                  .with("adapter", adapter)
+                  .with("led", led));
+  }
+  void addDropped(const std::string &endpoint, const std::string &model) {
+    add("g2", Utils::Event("task_dropped")
+                  .with("endpoint", endpoint)
+                  .with("model", model)
+                  .with("reason", "no_room"));
+  }
+  void addRefusedSend() {
+    add("g1", Utils::Event("send_failed")
+                  .with("id", "r")
+                  .with("endpoint", "i-1")
+                  .with("end", "refused")
+                  .with("status", 503)
+                  .with("in_time", 1)
+                  .with("in_budget", 0)
+                  .with("ms", 3));
+  }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(GatewayLogs, "call over the limit names the team, its tokens "
+                               "and when to come back") {
+  add("g1",
+      ended("over_limit", 429).with("tokens", 700).with("retry_after_ms", 250));
+  tells("r", "team kitchen was over its limit with 700 tokens");
+  tells("r", "come back in 250 ms");
+}
+
+TEST_CASE_FIXTURE(GatewayLogs, "call that waited in vain names the load that "
+                               "another gateway gave up") {
+  addWaiting("", 1);
+  addDropped("i-7", "m");
+  addDropped("i-8", "other");
+  add("g1", ended("deadline_unsent", 503));
+  tells("r", "no engine held model m");
+  tells("r", "gateway g2 gave its load at endpoint i-7 up: no_room");
+}
+
+TEST_CASE_FIXTURE(GatewayLogs, "call that waited without a holder says so") {
+  addWaiting("a1", 0);
+  add("g1", ended("deadline_unsent", 503));
+  tells("r", "adapter a1 of model m");
+  tells("r", "holder of the fleet's duty was not heard");
+}
+
+TEST_CASE_FIXTURE(GatewayLogs,
+                  "refused send names the endpoint and the budget") {
+  addRefusedSend();
+  add("g1", ended("not_run", 503));
+  tells("r", "endpoint i-1 ended the send as refused with status 503");
+  tells("r", "budget of repeats was used up");
+}
+
+TEST_CASE_FIXTURE(GatewayLogs, "failed send says that the call may have run") {
+  addRefusedSend();
+  add("g1", ended("endpoint_failed", 502));
+  tells("r", "it may have run");
+}
+
+TEST_CASE_FIXTURE(GatewayLogs, "call refused for old keys names the dependency "
+                               "that was lost") {
+  add("g1", Utils::Event("dependency_lost")
+                .with("dependency", "configuration")
+                .with("error", "store: no answer in time"));
+  add("g1", ended("keys_out_of_date", 503).with("keys_age_ms", 4700));
+  tells("r", "read the configuration 4700 ms ago");
+  tells("r", "configuration: store: no answer in time");
+}
+
+TEST_CASE_FIXTURE(GatewayLogs, "answered call tells the wait for its model") {
+  add("g1", ended("answered", 200).with("waited_ms", 40).with("sends", 2));
+  tells("r", "endpoint i-1 answered with status 200");
+  tells("r", "40 ms of it waiting for model m");
+  tells("r", "sent 2 times");
+}
--- a/tests/auto/gateway/gatewayworld.cpp
+++ b/tests/auto/gateway/gatewayworld.cpp
@@ -123,6 +123,7 @@
   Settings.IpAddress = "127.0.0.1";
   asio::ip::udp::socket port(Loop, {asio::ip::address_v4::loopback(), 0});
   Settings.FirstInternalPort = port.local_endpoint().port();
+  Settings.MetricsPort = freePort();
   port.close();
   Settings.CallerAddress = "127.0.0.1:" + std::to_string(freePort());
   Settings.ReadinessAddress = "127.0.0.1:" + std::to_string(freePort());
@@ -319,11 +320,19 @@
 }
 
 std::string GatewayWorld::readiness() {
+  return ask(Settings.ReadinessAddress, "/v1/readiness");
+}
+
+std::string GatewayWorld::metrics() {
+  return ask("127.0.0.1:" + std::to_string(Settings.MetricsPort), "/metrics");
+}
+
+std::string GatewayWorld::ask(const std::string &address,
+                              const std::string &path) {
   std::error_code ec;
-  RawCaller probe(Loop, HttpIo::parseEndpoint(Settings.ReadinessAddress, ec));
-  probe.send("GET /v1/readiness HTTP/1.1\r\nHost: h\r\n\r\n");
-  runUntil(
-      [&] { return probe.Received.find("\r\n\r\n") != std::string::npos; });
+  RawCaller probe(Loop, HttpIo::parseEndpoint(address, ec));
+  probe.send("GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n");
+  statusOf(probe);
   probe.leave();
   Loop.poll();
   return probe.Received;
--- a/tests/auto/gateway/gatewayworld.h
+++ b/tests/auto/gateway/gatewayworld.h
@@ -104,6 +104,7 @@
   /// has ended; 0 for none.
   unsigned statusOf(RawCaller &caller);
   std::string readiness();
+  std::string metrics();
 
   asio::io_context Loop{1};
   Fleet::Configuration Config;
@@ -128,6 +129,7 @@
              const std::function<void(Gateway::OrderReply)> &done);
   void after(std::chrono::milliseconds pause,
              const std::function<void()> &what);
+  std::string ask(const std::string &address, const std::string &path);
   uint16_t freePort();
 
   Gateway::GatewaySettings Settings;
--- a/tests/auto/gateway/tst_gateway.cpp
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -246,3 +246,18 @@
   CHECK(statusOf(caller) == 200);
   CHECK(caller.Received.find("Connection: close") != std::string::npos);
 }
+
+TEST_CASE_FIXTURE(Served,
+                  "metrics count calls by their outcome and tell the age "
+                  "of what is known") {
+  script({answer(200, "ok")});
+  CHECK(statusOf(call("/safe/")) == 200);
+  CHECK(statusOf(call("/other/")) == 404);
+  std::string text = metrics();
+  CHECK(text.find("hickory_gateway_calls_total{outcome=\"answered\"} 1") !=
+        std::string::npos);
+  CHECK(text.find("hickory_gateway_calls_total{outcome=\"no_route\"} 1") !=
+        std::string::npos);
+  CHECK(text.find("hickory_gateway_call_seconds_count 2") != std::string::npos);
+  CHECK(text.find("hickory_gateway_endpoints 2") != std::string::npos);
+}
--- a/tests/auto/sitewire/tst_sitewire.cpp
+++ b/tests/auto/sitewire/tst_sitewire.cpp
@@ -241,6 +241,9 @@
   CHECK(page->End == 6);
   CHECK(page->Records[0].Value == "ab");
   CHECK_FALSE(decodeNewestPage(R"({"items":[]})"));
+  CHECK_FALSE(decodeNewestPage(
+      R"({"items":[{"key":"k","value":"Y*I=","offset":4}],"more":false,
+      "end":6})"));
 }
 
 TEST_CASE("settings file without a needed bound is an error that names it") {
