Ask the daemon that is called whether a replica is unloaded

Their logs: the test waited until daemon 0 saw the unload and then called daemon 2, which had not read it yet (admitted with ready_ms=0) and used the replica that was not unloaded; the next call came while that replica still ran. Ruled out: silence of the engine (no endpoint_change), overdue unloads (170 ms; the limit is 1,000 ms).

Change: the test waits for the daemon that it calls.

--- a/tests/auto/placement/tst_placementfaults.cpp
+++ b/tests/auto/placement/tst_placementfaults.cpp
@@ -58,8 +58,8 @@
     it.Settings = {{"placement", {{"keep_alive_ms", 1}}}};
     return it;
   }
-  bool isReady(const std::string &model) const {
-    Json status = All.status(0);
+  bool isReady(int daemon, const std::string &model) const {
+    Json status = All.status(daemon);
     for (const Json &it : status["replicas"])
       if (it["model"] == model && it["phase"] == "ready")
         return true;
@@ -181,7 +181,8 @@
     return ok;
   });
   for (int i = 0; i < 4; ++i) {
-    CHECK(eventually([&] { return !isReady("menu-large"); }));
+    // A daemon that has not read of the unload yet still uses the replica.
+    CHECK(eventually([&] { return !isReady(i % 3, "menu-large"); }));
     CHECK(complete(i % 3, "menu-large") == 200);
   }
   ended = true;
