Claim at once the duty that an earlier process of the VM held

Cause: after all VMs restarted, the process on the former holder's VM knew from the first read that the lease was its own, but slept until the silence of a holder that no longer existed had passed; the others reported only at the next interval after the record had been read. Change: an own former record is claimed at the next append; a VM without a holder reports as soon as it has read the record. Ruled out: a shorter lease; it would be lost in a pause of the store.

--- a/src/libs/duty/duty.cpp
+++ b/src/libs/duty/duty.cpp
@@ -76,6 +76,8 @@
     return TimePoint::max();
   if (isHolder(watch))
     return std::max(watch.NextAppendAt, watch.RenewedBy + policy.RenewEvery);
+  if (watch.Known && isOwnFormer(watch))
+    return watch.NextAppendAt;
   TimePoint next =
       std::min(watch.HeardAt + policy.HolderSilence, claimFrom(watch, policy));
   return std::max(next, std::min(watch.NextReadAt, watch.NextAppendAt));
--- a/src/libs/gateway/dutykeeper.cpp
+++ b/src/libs/gateway/dutykeeper.cpp
@@ -100,6 +100,8 @@
     }
     Duty::noteRead(State, std::move(newest), result->End, now);
     noteChange();
+    if (OnRead)
+      OnRead();
     wake();
   });
 }
--- a/src/libs/gateway/dutykeeper.h
+++ b/src/libs/gateway/dutykeeper.h
@@ -33,6 +33,8 @@
 
   /// Called when this VM takes up or loses the duty.
   std::function<void()> OnChange;
+  /// Called when the record has been read.
+  std::function<void()> OnRead;
 
 private:
   void step();
--- a/src/libs/gateway/fleetpart.cpp
+++ b/src/libs/gateway/fleetpart.cpp
@@ -66,6 +66,10 @@
   constexpr uint8_t unknown = 255;
   Duty.setClaimDelay(claimDelay(Strength, unknown) / 2);
   Duty.OnChange = [this] { onDutyChange(); };
+  Duty.OnRead = [this] {
+    if (!Self.isLed(Utils::BootClock::now()))
+      reportSoon();
+  };
   Link.OnReport = [this](const FleetLink::Report &report) {
     if (Holder)
       Holder->take(report);
--- a/tests/auto/duty/tst_duty.cpp
+++ b/tests/auto/duty/tst_duty.cpp
@@ -153,6 +153,7 @@
                        "new token") {
   read(Record{"a", "10.0.0.1:1", 7, false}, 9);
   CHECK(next() == Step::Claim);
+  CHECK(nextStepAt(It, Agreed) <= Now);
   CHECK(recordFor(It, Step::Claim).Token == 8);
 }
 
