Read a refused page of the endpoints again, not all pages before it

Cause: the whole read of a topic had one limit of 700 ms and began anew when any page failed; of 300 gateways that start at once none got to the end. Change: the store's client reads one page; the feed keeps what it has read, retries the page that failed, and begins anew only when it is told all or the records behind are gone. Ruled out: a longer limit for the whole; it only moves the size at which it fails.

--- a/src/libs/gateway/store.h
+++ b/src/libs/gateway/store.h
@@ -30,6 +30,16 @@
   std::vector<TopicRecord> Records;
 };
 
+/// Some of the newest records of the keys. The pages of a topic are no snapshot
+/// of it.
+struct TopicPage {
+  /// End of the topic when the page was made.
+  uint64_t End = 0;
+  std::vector<TopicRecord> Records;
+  /// Key behind which the next page begins; empty for the last page.
+  std::string NextAfter;
+};
+
 /// Newest record of the fleet's duty.
 struct DutyRead {
   /// None if there is no record yet.
@@ -43,11 +53,14 @@
 /// OutOfRange (the records are gone; read all), Conflict, Corrupt.
 struct Store {
   using ReadDone = std::function<void(Utils::Outcome<TopicRead>)>;
+  using PageDone = std::function<void(Utils::Outcome<TopicPage>)>;
   using DutyDone = std::function<void(Utils::Outcome<DutyRead>)>;
   using AppendDone = std::function<void(Utils::Outcome<uint64_t>)>;
 
-  /// Newest record of every key.
-  std::function<void(Topic, Utils::TimePoint deadline, ReadDone)> ReadAll;
+  /// Newest records of the keys behind `after`, of all keys if that is empty.
+  std::function<void(Topic, const std::string &after, Utils::TimePoint deadline,
+                     PageDone)>
+      ReadPage;
   /// Records from an offset on; waits for one as long as `patience` says.
   std::function<void(Topic, uint64_t from, Utils::Milliseconds patience,
                      Utils::TimePoint deadline, ReadDone)>
--- a/src/libs/gateway/topicfeed.cpp
+++ b/src/libs/gateway/topicfeed.cpp
@@ -4,6 +4,8 @@
 #include "utils/utils.h"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 namespace Gateway {
 
@@ -27,38 +29,78 @@
     return;
   Reading = true;
   Utils::TimePoint now = Utils::BootClock::now();
-  bool whole = !Complete;
-  auto done = [this, now, whole](const Utils::Outcome<TopicRead> &result) {
-    onRead(result, now, whole);
+  if (!Complete)
+    return readPage(now);
+  auto done = [this, now](const Utils::Outcome<TopicRead> &result) {
+    Reading = false;
+    if (!result)
+      return onFailure(result.error());
+    onRead(*result, now, false);
   };
-  if (whole)
-    return Source.ReadAll(Steps.Source, now + StoreAnswerLimit, done);
   Source.ReadFrom(Steps.Source, Next, Steps.Patience,
                   now + Steps.Patience + StoreAnswerLimit, done);
 }
 
-void TopicFeed::onRead(const Utils::Outcome<TopicRead> &result,
-                       Utils::TimePoint sentAt, bool whole) {
-  Reading = false;
-  if (!result)
-    return onFailure(result.error());
+/// Reads the next page of all records. A page that fails is read again, not
+/// those before it: many VMs that begin anew would never get to the end.
+void TopicFeed::readPage(Utils::TimePoint now) {
+  auto done = [this, round = Round](Utils::Outcome<TopicPage> page) {
+    Reading = false;
+    if (round != Round)
+      return readAfter(Utils::Milliseconds(0));
+    if (!page)
+      return onFailure(page.error());
+    onPage(std::move(page.value()));
+  };
+  if (PageAfter.empty())
+    PagesFrom = now;
+  Source.ReadPage(Steps.Source, PageAfter, now + StoreAnswerLimit, done);
+}
+
+void TopicFeed::onPage(TopicPage page) {
+  // Whatever came after the end of the first page is read again from there.
+  if (PageAfter.empty())
+    Pages.Next = page.End;
+  std::move(page.Records.begin(), page.Records.end(),
+            std::back_inserter(Pages.Records));
+  PageAfter = std::move(page.NextAfter);
+  if (!PageAfter.empty()) {
+    noteAnswer();
+    return read();
+  }
+  onRead(std::exchange(Pages, {}), PagesFrom, true);
+}
+
+void TopicFeed::noteAnswer() {
   if (Failures > 0)
     Utils::Event("dependency_regained")
         .with("dependency", topicLabel(Steps.Source))
         .with("failures", Failures)
         .info();
   Failures = 0;
+}
+
+void TopicFeed::onRead(const TopicRead &result, Utils::TimePoint sentAt,
+                       bool whole) {
+  noteAnswer();
   Complete = true;
   CompleteUntil = std::max(CompleteUntil, sentAt);
-  Next = result->Next;
-  if (whole || !result->Records.empty())
-    OnRecords(result->Records, whole);
+  Next = result.Next;
+  if (whole || !result.Records.empty())
+    OnRecords(result.Records, whole);
   readAfter(Steps.Pause);
 }
 
+void TopicFeed::restart() {
+  Complete = false;
+  ++Round;
+  PageAfter.clear();
+  Pages = {};
+}
+
 void TopicFeed::onFailure(const Utils::Failure &failure) {
   if (failure.Code == Utils::Errc::OutOfRange)
-    Complete = false; // Records were deleted before they were read.
+    restart(); // Records were deleted before they were read.
   if (Failures++ == 0)
     Utils::Event("dependency_lost")
         .with("dependency", topicLabel(Steps.Source))
@@ -110,7 +152,7 @@
 void TopicFeed::hearAll(Utils::TimePoint asOf, Utils::TimePoint askedAt) {
   if (asOf + HearsayAge < askedAt)
     return;
-  Complete = false;
+  restart();
   Heard = true;
   postpone(asOf, askedAt);
 }
--- a/src/libs/gateway/topicfeed.h
+++ b/src/libs/gateway/topicfeed.h
@@ -40,12 +40,17 @@
   /// What was taken is complete up to this point; the epoch before the first
   /// read.
   Utils::TimePoint completeUntil() const { return CompleteUntil; }
+  /// All was read, and what was added since is read from next() on.
+  bool isComplete() const { return Complete; }
   bool hasRead() const { return Complete || Heard; }
 
 private:
   void read();
-  void onRead(const Utils::Outcome<TopicRead> &result, Utils::TimePoint sentAt,
-              bool whole);
+  void readPage(Utils::TimePoint now);
+  void onPage(TopicPage page);
+  void onRead(const TopicRead &result, Utils::TimePoint sentAt, bool whole);
+  void noteAnswer();
+  void restart();
   void onFailure(const Utils::Failure &failure);
   void readAfter(Utils::Milliseconds pause);
   void readAt(Utils::TimePoint at);
@@ -57,6 +62,13 @@
   HttpIo::Timer Pause;
   std::minstd_rand Random;
   uint64_t Next = 0;
+  /// Pages of all records that were read so far, since PagesFrom, and the key
+  /// behind which the next one begins.
+  TopicRead Pages;
+  std::string PageAfter;
+  Utils::TimePoint PagesFrom{};
+  /// Counts the times at which the pages were begun anew.
+  uint64_t Round = 0;
   bool Complete = false;
   bool Heard = false;
   uint32_t Failures = 0;
--- a/tests/auto/gateway/gatewayworld.cpp
+++ b/tests/auto/gateway/gatewayworld.cpp
@@ -257,8 +257,12 @@
 Gateway::Store GatewayWorld::makeStore() {
   Gateway::Store store;
   store.ConfigurationKey = "config";
-  store.ReadAll = [this](auto topic, auto, auto done) {
-    answerRead(topic, std::move(done));
+  store.ReadPage = [this](auto topic, const auto &, auto, auto done) {
+    answerRead(topic, [done](Utils::Outcome<Gateway::TopicRead> read) {
+      if (!read)
+        return done(read.error());
+      done(Gateway::TopicPage{read->Next, std::move(read.value().Records), ""});
+    });
   };
   store.ReadFrom = [this](auto topic, auto, auto, auto, auto done) {
     answerRead(topic, std::move(done));
