Tell gateways the table of endpoints by revisions and in parts

Cause: the holder told each gateway the whole table of endpoints, at most 100 entries a beat, and searched all revisions for each beat; a gateway that had been told a part took it for all, read the store no more and passed the part on when it took over. Change: TableBook (holder) keeps changes in order of revision and tells what a gateway lacks, from what it has read itself where it can; FleetTable (gateway) knows whether its table is complete, names entries in doubt, and begins anew when it missed a reign. Ruled out: sending all to all; 225 MB for the holder's link.

--- a/src/libs/fleetlink/fleetlink.cpp
+++ b/src/libs/fleetlink/fleetlink.cpp
@@ -22,8 +22,9 @@
 }
 template <class Archive> void serialize(Archive &archive, Report &it) {
   archive(it.Member, it.Address, it.Incarnation, it.Sequence, it.Token,
-          it.Lineage, it.TableRevision, it.Strength, it.StoreSilentMs,
-          it.Leaving, it.Teams, it.Waiting, it.Calls, it.Loads, it.Bounces);
+          it.Lineage, it.TableRevision, it.TableComplete, it.EndpointsNext,
+          it.Strength, it.StoreSilentMs, it.Leaving, it.Teams, it.Waiting,
+          it.Calls, it.Loads, it.Bounces, it.Doubts);
 }
 template <class Archive> void serialize(Archive &archive, TeamTotal &it) {
   archive(it.Team, it.Level, it.Share);
@@ -35,21 +36,24 @@
   archive(it.Name, it.ReadyInMs, it.Adapters);
 }
 template <class Archive> void serialize(Archive &archive, EndpointEntry &it) {
-  archive(it.Endpoint, it.Gone, it.Draining, it.Service, it.Address,
-          it.FailureDomain, it.Slots, it.StartedUnixMs, it.Sequence, it.Models);
+  archive(it.Endpoint, it.Revision, it.Gone, it.Draining, it.Service,
+          it.Address, it.FailureDomain, it.Slots, it.StartedUnixMs, it.Sequence,
+          it.Models);
 }
 template <class Archive> void serialize(Archive &archive, Beat &it) {
   archive(it.Holder, it.Address, it.Token, it.RecordEnd, it.RecordAgeMs,
           it.Released, it.Members, it.Strongest, it.Incarnation, it.Sequence,
           it.Teams, it.OperatorsNext, it.OperatorsAgeMs, it.EndpointsAgeMs,
-          it.Lineage, it.TableRevision, it.Entries, it.Loads);
+          it.Lineage, it.TableTakenOver, it.TableFloor, it.TableSince,
+          it.TableRevision, it.TableComplete, it.TableSinceListed, it.Entries,
+          it.Loads);
 }
 
 namespace {
 
 /// First byte of a datagram. Raised with each change of the messages, so that
 /// gateways of two versions do not misread each other.
-enum class Kind : char { Report = 1, Beat = 2 };
+enum class Kind : char { Report = 3, Beat = 4 };
 
 template <typename T> std::string encodeAs(Kind kind, const T &message) {
   return std::string(1, char(kind)) + Codec::encode(message);
--- a/src/libs/fleetlink/fleetlink.h
+++ b/src/libs/fleetlink/fleetlink.h
@@ -16,6 +16,11 @@
 /// Longest datagram that is sent; fits into one UDP packet.
 constexpr size_t MaxDatagramBytes = 60000;
 
+/// Revisions that are kept free below the one up to which a table is as the
+/// store lists it; gateways that have read it themselves number its entries by
+/// them.
+constexpr uint64_t ListedRevisions = 1 << 20;
+
 /// Short for a name, in messages that go often.
 uint32_t keyOf(std::string_view name);
 
@@ -74,6 +79,10 @@
   /// Line of the table that it knows, and the revision up to which.
   uint64_t Lineage = 0;
   uint64_t TableRevision = 0;
+  bool TableComplete = false;
+  /// Offset up to which it has read all of the endpoints' topic by itself; 0
+  /// if it has not.
+  uint64_t EndpointsNext = 0;
   /// How much of the holder's work the VM could bear, against others.
   uint8_t Strength = 0;
   /// Since when the store has not answered it.
@@ -85,6 +94,9 @@
   std::vector<ModelCalls> Calls;
   std::vector<EndpointCalls> Loads;
   std::vector<Misplaced> Bounces;
+  /// Endpoints whose entries an earlier holder told and the present one may
+  /// never have known.
+  std::vector<std::string> Doubts;
 };
 
 /// Tokens of a team as the holder has counted them, with those of the report
@@ -114,6 +126,8 @@
 /// An endpoint as the holder knows it.
 struct EndpointEntry {
   std::string Endpoint;
+  /// Revision of the table at which it changed last.
+  uint64_t Revision = 0;
   /// It is not listed any more; nothing else is said.
   bool Gone = false;
   bool Draining = false;
@@ -151,10 +165,19 @@
   uint32_t OperatorsAgeMs = 0;
   /// How long ago the entries were all that the store lists.
   uint32_t EndpointsAgeMs = 0;
-  /// Entries that changed since the revision of that report, up to this one.
-  /// Revisions of one lineage go on from holder to holder.
+  /// Entries that changed since one revision of the table up to another, and
+  /// whether that is its newest. Revisions of one lineage go on from holder to
+  /// holder.
   uint64_t Lineage = 0;
+  /// Revision of the table with which the holder took over.
+  uint64_t TableTakenOver = 0;
+  /// Of endpoints that were gone by this revision the table may say nothing.
+  uint64_t TableFloor = 0;
+  uint64_t TableSince = 0;
   uint64_t TableRevision = 0;
+  bool TableComplete = false;
+  /// Up to TableSince the table is what the gateway has read from the store.
+  bool TableSinceListed = false;
   std::vector<EndpointEntry> Entries;
   std::vector<EndpointCalls> Loads;
 };
--- a/src/libs/gateway/fleetholder.cpp
+++ b/src/libs/gateway/fleetholder.cpp
@@ -48,9 +48,6 @@
   return size_t(std::clamp(entries, LeastEntries, MostEntries));
 }
 
-/// Revisions of a holder begin at its token, shifted so far.
-constexpr int TokenShift = 32;
-
 uint32_t msUntil(Utils::TimePoint at, Utils::TimePoint now) {
   if (at <= now)
     return 0;
@@ -63,26 +60,18 @@
 FleetHolder::FleetHolder(Context context, int64_t token,
                          const Inheritance &inherited)
     : It(std::move(context)), Token(token), StartedAt(Utils::BootClock::now()),
-      Lineage(inherited.Lineage), PlanTimer(It.Loop), TellTimer(It.Loop) {
+      Book(token, inherited.Table), PlanTimer(It.Loop), TellTimer(It.Loop) {
   RunnerContext = makeRunnerContext();
   onConfiguration();
   for (auto &[key, team] : Teams)
     if (auto it = inherited.Levels.find(team.Name);
         it != inherited.Levels.end())
       team.Book.setLevel(it->second, StartedAt);
-  bool goesOn = inherited.TableRevision > 0;
   for (const auto &[id, endpoint] : It.Known.endpoints().all())
     onEndpoint(id);
-  Revisions.clear();
-  if (goesOn)
-    Revisions = inherited.Revisions;
-  else
-    Lineage = std::random_device{}() | uint64_t(Token) << TokenShift;
-  // Above all that holders between may have numbered.
-  Revision = uint64_t(Token) << TokenShift;
-  for (const auto &[id, content] : Contents)
-    if (Revisions.count(id) == 0)
-      Revisions[id] = ++Revision;
+  Book.goOn(inherited.Table);
+  if (uint64_t next = It.HasRead().EndpointsNext; next > 0)
+    onListed(next);
   if (!It.Settings.FirstStart)
     NoPlanBefore = StartedAt + DemandSettle;
 }
@@ -131,6 +120,8 @@
       changed(it.Endpoint, true);
       runner(it.Endpoint)->askReport();
     }
+  for (const std::string &id : report.Doubts)
+    changed(id, true);
   if (!report.Waiting.empty())
     planAfter(UrgentPlanPause);
   answer(member);
@@ -309,25 +300,6 @@
   return out;
 }
 
-/// Adds the oldest changes that the gateway has not seen, as many as one
-/// datagram holds; the others follow with the next beat.
-void FleetHolder::addEntries(FleetLink::Beat &beat, uint64_t seen) const {
-  std::vector<std::pair<uint64_t, const std::string *>> due;
-  for (const auto &[id, revision] : Revisions)
-    if (revision > seen)
-      due.emplace_back(revision, &id);
-  std::sort(due.begin(), due.end());
-  const size_t most = entriesPerBeat(It.Settings.LinkMbps);
-  beat.TableRevision = Revision;
-  for (const auto &[revision, id] : due) {
-    if (beat.Entries.size() == most)
-      return;
-    beat.Entries.push_back(entryOf(*id));
-    if (due.size() > most)
-      beat.TableRevision = revision;
-  }
-}
-
 FleetLink::Beat FleetHolder::makeBeat(const Member &member) {
   Utils::TimePoint now = Utils::BootClock::now();
   const FleetLink::Report &report = member.Newest;
@@ -343,8 +315,8 @@
   out.OperatorsNext = read.OperatorsNext;
   out.OperatorsAgeMs = ageOf(read.OperatorsAsOf, now);
   out.EndpointsAgeMs = ageOf(read.EndpointsAsOf, now);
-  out.Lineage = Lineage;
-  addEntries(out, report.Lineage == Lineage ? report.TableRevision : 0);
+  Book.tell(out, report, entriesPerBeat(It.Settings.LinkMbps),
+            [this](const std::string &id) { return entryOf(id); });
   out.Loads = fleetLoads();
   return out;
 }
--- a/src/libs/gateway/fleetholder.h
+++ b/src/libs/gateway/fleetholder.h
@@ -5,6 +5,7 @@
 #include "gateway/fleetmember.h"
 #include "gateway/gatewaysettings.h"
 #include "gateway/orderrunner.h"
+#include "gateway/tablebook.h"
 #include "gateway/view.h"
 #include "quota/quota.h"
 #include "residency/residency.h"
@@ -20,6 +21,8 @@
   uint64_t OperatorsNext = 0;
   Utils::TimePoint OperatorsAsOf{};
   Utils::TimePoint EndpointsAsOf{};
+  /// Offset up to which all of the endpoints' topic was read; 0 if it was not.
+  uint64_t EndpointsNext = 0;
 };
 
 /// What the holder of the fleet's duty does: adds up what the gateways report,
@@ -49,6 +52,8 @@
   void take(const FleetLink::Report &report);
   /// The list of endpoints has changed.
   void onEndpoint(const std::string &id);
+  /// All endpoints have been read from the store, up to that offset.
+  void onListed(uint64_t next);
   void onConfiguration();
   /// Greatest strength among the gateways.
   uint8_t strongest() const;
@@ -79,7 +84,6 @@
   void tellWaiting();
   void tellAllSoon();
   FleetLink::Beat makeBeat(const Member &member);
-  void addEntries(FleetLink::Beat &beat, uint64_t seen) const;
   FleetLink::EndpointEntry entryOf(const std::string &id) const;
   const std::vector<FleetLink::EndpointCalls> &fleetLoads();
   bool mayAct() const;
@@ -120,13 +124,7 @@
   Residency::Places Places;
   std::map<std::string, std::shared_ptr<OrderRunner>> Runners;
   std::shared_ptr<OrderRunner::Context> RunnerContext;
-  /// Revision at which the entry of an endpoint changed last, also of those
-  /// that are gone.
-  std::map<std::string, uint64_t> Revisions;
-  /// What the entries say.
-  std::map<std::string, std::string> Contents;
-  uint64_t Lineage;
-  uint64_t Revision = 0;
+  TableBook Book;
   Residency::StorePace StoreLoads;
   std::vector<FleetLink::EndpointCalls> Loads;
   Utils::TimePoint LoadsAt{};
--- a/src/libs/gateway/fleetmember.cpp
+++ b/src/libs/gateway/fleetmember.cpp
@@ -23,10 +23,6 @@
   return {team.RatePerSecond, team.Burst, tolerance};
 }
 
-TimePoint pointIn(uint32_t ms, TimePoint now) {
-  return ms == 0 ? TimePoint{} : now + milliseconds(ms);
-}
-
 } // namespace
 
 FleetMember::FleetMember(std::string name, std::string address,
@@ -66,9 +62,9 @@
   Inheritance out;
   for (auto &[team, meter] : Meters)
     out.Levels[team] = meter.level(now);
-  out.Lineage = Lineage;
-  out.TableRevision = TableRevision;
-  out.Revisions = Revisions;
+  // A part of a table says nothing of the rest.
+  if (Table.isComplete())
+    out.Table = Table.known();
   return out;
 }
 
@@ -95,12 +91,7 @@
                              const std::string &adapter, TimePoint now) {
   if (Bounces.size() < MostBounces)
     Bounces.push_back({endpoint, model, adapter});
-  auto held = Table.find(endpoint);
-  if (held == Table.end() || held->second.count(model) == 0)
-    return;
-  Held &entry = held->second[model];
-  TimePoint &ready = adapter.empty() ? entry.ReadyAt : entry.Adapters[adapter];
-  ready = std::max(ready, now + BounceRest);
+  Table.noteAbsent(endpoint, model, adapter, now + BounceRest);
 }
 
 /// Adds the teams of which the holder does not know the newest count.
@@ -126,8 +117,10 @@
   out.Incarnation = Incarnation;
   out.Sequence = ++Sequence;
   out.Token = Token;
-  out.Lineage = Lineage;
-  out.TableRevision = TableRevision;
+  out.Lineage = Table.known().Lineage;
+  out.TableRevision = Table.known().Revision;
+  out.TableComplete = Table.isComplete();
+  out.Doubts.assign(Table.doubts().begin(), Table.doubts().end());
   addTeams(out);
   addCalls(out, now);
   OwnLoads.clear();
@@ -142,7 +135,8 @@
   return out;
 }
 
-bool FleetMember::take(const FleetLink::Beat &beat, TimePoint now) {
+bool FleetMember::take(const FleetLink::Beat &beat,
+                       const Fleet::EndpointTable &endpoints, TimePoint now) {
   if (beat.Token < Token || beat.Incarnation != Incarnation)
     return false;
   if (beat.Token == Token && beat.Sequence < HeardSequence)
@@ -154,7 +148,7 @@
   HeardAt = now;
   Members = beat.Members;
   takeTeams(beat, now);
-  takeTable(beat, now);
+  Table.take(beat, endpoints, now);
   OtherLoads.clear();
   for (const FleetLink::EndpointCalls &it : beat.Loads) {
     auto own = OwnLoads.find(it.Endpoint);
@@ -184,44 +178,9 @@
   }
 }
 
-void FleetMember::takeTable(const FleetLink::Beat &beat, TimePoint now) {
-  if (beat.Lineage != Lineage) {
-    Table.clear();
-    Revisions.clear();
-    TableRevision = 0;
-    Lineage = beat.Lineage;
-  }
-  TableRevision = std::max(TableRevision, beat.TableRevision);
-  for (const FleetLink::EndpointEntry &entry : beat.Entries) {
-    Revisions[entry.Endpoint] = beat.TableRevision;
-    auto &held = Table[entry.Endpoint];
-    held.clear();
-    if (entry.Gone) {
-      Table.erase(entry.Endpoint);
-      continue;
-    }
-    for (const FleetLink::ModelEntry &model : entry.Models) {
-      Held &it = held[model.Name];
-      it.ReadyAt = pointIn(model.ReadyInMs, now);
-      for (const FleetLink::AdapterEntry &adapter : model.Adapters)
-        it.Adapters[adapter.Name] = pointIn(adapter.ReadyInMs, now);
-    }
-  }
-  if (beat.Entries.empty())
-    return;
-  Places.clear();
-  for (const auto &[id, models] : Table)
-    for (const auto &[model, held] : models)
-      Places[model].push_back(id);
-}
-
 const std::vector<std::string> *FleetMember::placesOf(const std::string &model,
                                                       TimePoint now) const {
-  static const std::vector<std::string> nowhere;
-  if (!isLed(now))
-    return nullptr;
-  auto it = Places.find(model);
-  return it == Places.end() ? &nowhere : &it->second;
+  return isLed(now) ? Table.placesOf(model) : nullptr;
 }
 
 bool FleetMember::isLed(TimePoint now) const {
@@ -232,21 +191,11 @@
                                               const std::string &model,
                                               const std::string &adapter,
                                               TimePoint now) const {
-  auto entry = Table.find(endpoint.Report.Id);
-  if (!isLed(now) || entry == Table.end()) {
-    bool holds = adapter.empty() ? endpoint.holds(model)
-                                 : endpoint.holdsAdapter(model, adapter);
-    return holds ? std::optional(TimePoint{}) : std::nullopt;
-  }
-  auto held = entry->second.find(model);
-  if (held == entry->second.end())
-    return std::nullopt;
-  if (adapter.empty())
-    return held->second.ReadyAt;
-  auto it = held->second.Adapters.find(adapter);
-  if (it == held->second.Adapters.end())
-    return std::nullopt;
-  return std::max(held->second.ReadyAt, it->second);
+  if (isLed(now))
+    return Table.readyAt(endpoint, model, adapter);
+  bool holds = adapter.empty() ? endpoint.holds(model)
+                               : endpoint.holdsAdapter(model, adapter);
+  return holds ? std::optional(TimePoint{}) : std::nullopt;
 }
 
 uint32_t FleetMember::loadOfOthers(const std::string &endpoint) const {
--- a/src/libs/gateway/fleetmember.h
+++ b/src/libs/gateway/fleetmember.h
@@ -4,6 +4,7 @@
 #include "balance/balance.h"
 #include "fleet/fleet.h"
 #include "fleetlink/fleetlink.h"
+#include "gateway/fleettable.h"
 #include "quota/quota.h"
 #include "residency/residency.h"
 
@@ -18,19 +19,10 @@
 
 using Utils::TimePoint;
 
-/// A model, or an adapter of it, at an endpoint: from when calls can use it.
-struct Held {
-  TimePoint ReadyAt{};
-  std::map<std::string, TimePoint> Adapters;
-};
-
 /// What a new holder takes over from the gateway that it has been.
 struct Inheritance {
   std::map<std::string, double> Levels;
-  uint64_t Lineage = 0;
-  uint64_t TableRevision = 0;
-  /// Revision up to which each endpoint's entry is known.
-  std::map<std::string, uint64_t> Revisions;
+  KnownTable Table;
 };
 
 /// What this gateway counts for the holder of the fleet's duty, and what the
@@ -68,12 +60,16 @@
                                const Fleet::EndpointTable &endpoints,
                                TimePoint now);
   /// Takes a beat in; false if it is of an earlier holder or late.
-  bool take(const FleetLink::Beat &beat, TimePoint now);
+  /// `endpoints`: what this gateway has read from the store.
+  bool take(const FleetLink::Beat &beat, const Fleet::EndpointTable &endpoints,
+            TimePoint now);
 
   // What is known of the fleet.
 
   /// Whether the holder was heard of lately, so that its table holds.
   bool isLed(TimePoint now) const;
+  /// Whether it has told this gateway of all endpoints.
+  bool knowsAll() const { return Table.isComplete(); }
   /// From when the endpoint can run calls of the model and adapter; none if
   /// nothing says that it will.
   std::optional<TimePoint> readyAt(const Fleet::Endpoint &endpoint,
@@ -95,7 +91,6 @@
   void addTeams(FleetLink::Report &report);
   void addCalls(FleetLink::Report &report, TimePoint now);
   void takeTeams(const FleetLink::Beat &beat, TimePoint now);
-  void takeTable(const FleetLink::Beat &beat, TimePoint now);
 
   std::string Name;
   std::string Address;
@@ -121,12 +116,7 @@
   TimePoint HeardAt{};
   uint64_t HeardSequence = 0;
   uint32_t Members = 0;
-  uint64_t Lineage = 0;
-  uint64_t TableRevision = 0;
-  std::map<std::string, std::map<std::string, Held>> Table;
-  std::map<std::string, uint64_t> Revisions;
-  /// Endpoints of the table by model.
-  std::map<std::string, std::vector<std::string>> Places;
+  FleetTable Table;
   std::map<uint32_t, uint32_t> OtherLoads;
 };
 
--- a/src/libs/gateway/fleetpart.cpp
+++ b/src/libs/gateway/fleetpart.cpp
@@ -125,6 +125,7 @@
   Asked[out.Sequence] = now;
   if (Asked.size() > ReportsRemembered)
     Asked.erase(Asked.begin());
+  out.EndpointsNext = It.HasRead().EndpointsNext;
   out.Waiting = It.Waiting();
   out.Leaving = Leaving;
   out.Strength = Strength;
@@ -157,7 +158,7 @@
             beat.RecordEnd, milliseconds(beat.RecordAgeMs));
   Duty.setClaimDelay(claimDelay(Strength, beat.Strongest));
   auto asked = Asked.find(beat.Sequence);
-  if (!Self.take(beat, now) || asked == Asked.end())
+  if (!Self.take(beat, It.Known.endpoints(), now) || asked == Asked.end())
     return;
   It.Told(beat, asked->second);
 }
@@ -197,6 +198,11 @@
     Holder->onEndpoint(id);
 }
 
+void FleetPart::onListed(uint64_t next) {
+  if (Holder)
+    Holder->onListed(next);
+}
+
 void FleetPart::onConfiguration() {
   Self.setLimits(*It.Known.configuration(),
                  It.Settings.LimitSlack * ToleratedSlack,
--- a/src/libs/gateway/fleetpart.h
+++ b/src/libs/gateway/fleetpart.h
@@ -37,6 +37,8 @@
   /// Reports now, but for a short pause in which more may come.
   void reportSoon();
   void onEndpoint(const std::string &id);
+  /// All endpoints have been read from the store, up to that offset.
+  void onListed(uint64_t next);
   void onConfiguration();
   void leave();
 
--- a/src/libs/gateway/holderengines.cpp
+++ b/src/libs/gateway/holderengines.cpp
@@ -44,6 +44,23 @@
          });
 }
 
+/// Whether the place holds just what its endpoint has reported, for use.
+bool isAsReported(const Place &place, const Fleet::EndpointReport &report) {
+  if (place.Busy || !sameModels(place, report.Models))
+    return false;
+  return std::all_of(
+      report.Models.begin(), report.Models.end(), [&](const auto &it) {
+        const HeldModel *held = place.find(it.Name);
+        return held->ReadyAt == TimePoint{} &&
+               held->Adapters.size() == it.Adapters.size() &&
+               std::all_of(it.Adapters.begin(), it.Adapters.end(),
+                           [&](const std::string &adapter) {
+                             const auto *a = held->findAdapter(adapter);
+                             return a && a->ReadyAt == TimePoint{};
+                           });
+      });
+}
+
 } // namespace
 
 std::shared_ptr<OrderRunner::Context> FleetHolder::makeRunnerContext() {
@@ -167,13 +184,20 @@
 
 void FleetHolder::changed(const std::string &id, bool anew) {
   auto place = Places.find(id);
-  std::string content =
-      contentOf(entryOf(id), place == Places.end() ? nullptr : &place->second);
-  std::string &known = Contents[id];
-  if (known == content && !anew)
-    return;
-  known = std::move(content);
-  Revisions[id] = ++Revision;
+  Book.note(
+      id,
+      contentOf(entryOf(id), place == Places.end() ? nullptr : &place->second),
+      anew);
+}
+
+void FleetHolder::onListed(uint64_t next) {
+  std::vector<std::string> others;
+  for (const auto &[id, place] : Places) {
+    const Fleet::Endpoint *endpoint = It.Known.endpoints().find(id);
+    if (endpoint && !isAsReported(place, endpoint->Report))
+      others.push_back(id);
+  }
+  Book.noteListed(next, others);
 }
 
 bool FleetHolder::fits(const std::string &id, const Order &order) const {
--- a/src/libs/gateway/process.cpp
+++ b/src/libs/gateway/process.cpp
@@ -71,6 +71,8 @@
           loop, State.Wire.PlatformStore, {Topic::Endpoints, {}, EndpointPause},
           [this](const auto &records, bool whole) {
             State.Known.takeEndpoints(records, whole, Utils::BootClock::now());
+            if (whole)
+              State.Part.onListed(Endpoints.next());
           }),
       Signals(loop, SIGTERM, SIGINT), HouseTimer(loop), LeaveTimer(loop) {
   State.StoreAnsweredAt = [this] {
@@ -82,7 +84,8 @@
   };
   State.HasRead = [this] {
     return ReadFacts{Configurations.next(), Configurations.completeUntil(),
-                     Endpoints.completeUntil()};
+                     Endpoints.completeUntil(),
+                     Endpoints.isComplete() ? Endpoints.next() : 0};
   };
   State.Told = [this](const auto &beat, auto askedAt) {
     onTold(beat, askedAt);
@@ -186,7 +189,8 @@
     takeEntries(beat);
     Configurations.hear(beat.OperatorsNext,
                         askedAt - milliseconds(beat.OperatorsAgeMs), askedAt);
-    Endpoints.hearAll(askedAt - milliseconds(beat.EndpointsAgeMs), askedAt);
+    if (State.Part.member().knowsAll())
+      Endpoints.hearAll(askedAt - milliseconds(beat.EndpointsAgeMs), askedAt);
   }
   State.Waiting.retry();
 }
--- a/src/libs/gateway/view.cpp
+++ b/src/libs/gateway/view.cpp
@@ -2,8 +2,6 @@
 
 #include "utils/utils.h"
 
-#include <algorithm>
-
 namespace Gateway {
 
 namespace {
@@ -61,21 +59,21 @@
 void View::takeEndpoints(const std::vector<TopicRecord> &records, bool whole,
                          Utils::TimePoint now) {
   if (whole) {
-    std::vector<std::string> ids;
+    std::set<std::string_view> ids;
     for (const TopicRecord &it : records)
       if (it.Value)
-        ids.push_back(it.Key);
+        ids.insert(it.Key);
     retainEndpoints(ids, now);
   }
   for (const TopicRecord &it : records)
     takeEndpoint(it, now);
 }
 
-void View::retainEndpoints(const std::vector<std::string> &ids,
+void View::retainEndpoints(const std::set<std::string_view> &ids,
                            Utils::TimePoint now) {
   std::vector<std::string> gone;
   for (const auto &[id, endpoint] : Endpoints.all())
-    if (std::find(ids.begin(), ids.end(), id) == ids.end())
+    if (ids.count(id) == 0)
       gone.push_back(id);
   for (const std::string &id : gone)
     removeEndpoint(id, now);
--- a/src/libs/gateway/view.h
+++ b/src/libs/gateway/view.h
@@ -5,6 +5,7 @@
 #include "gateway/store.h"
 
 #include <functional>
+#include <set>
 
 namespace Gateway {
 
@@ -21,7 +22,7 @@
   void takeReport(Fleet::EndpointReport report, Utils::TimePoint now);
   void removeEndpoint(const std::string &id, Utils::TimePoint now);
   /// Forgets all endpoints but these.
-  void retainEndpoints(const std::vector<std::string> &ids,
+  void retainEndpoints(const std::set<std::string_view> &ids,
                        Utils::TimePoint now);
 
   /// Null before the first configuration.
