Read engines' reports only when a predecessor's orders show in them

Cause: a holder that is cut off gives the duty up and its successor, a process of the fleet's first start, asked the engines for reports and planned at once. Change: a holder that isn't the first asks for reports 0.4 s after it took over and plans after 0.6 s, whether its process is new or not. Ruled out: the pause added before reports (reports still come before any order; the planner passes over engines that have not reported).

--- a/src/libs/gateway/fleetholder.cpp
+++ b/src/libs/gateway/fleetholder.cpp
@@ -25,6 +25,9 @@
 
 /// Time in which the gateways tell a new holder what is called.
 constexpr milliseconds DemandSettle{600};
+/// Age that an engine's report may have. What a former holder ordered until it
+/// gave the duty up shows in reports that are read so much later.
+constexpr milliseconds ReportLag{400};
 /// Pause before a plan for calls that wait, in which more may come.
 constexpr milliseconds UrgentPlanPause{2};
 /// How long a sum of the gateways' loads is used; reports are older.
@@ -61,7 +64,9 @@
 FleetHolder::FleetHolder(Context context, int64_t token,
                          const Inheritance &inherited)
     : It(std::move(context)), Token(token), StartedAt(Utils::BootClock::now()),
+      NextReportAt(token == 1 ? StartedAt : StartedAt + ReportLag),
       Book(token, inherited.Table), PlanTimer(It.Loop), TellTimer(It.Loop) {
+
   RunnerContext = makeRunnerContext();
   onConfiguration();
   for (auto &[key, team] : Teams)
@@ -73,7 +78,8 @@
   Book.goOn(inherited.Table);
   if (uint64_t next = It.HasRead().EndpointsNext; next > 0)
     onListed(next);
-  if (!It.Settings.FirstStart)
+  bool isFirst = token == 1;
+  if (!isFirst || !It.Settings.FirstStart)
     NoPlanBefore = StartedAt + DemandSettle;
 }
 
--- a/tests/auto/fleettable/tst_fleettable.cpp
+++ b/tests/auto/fleettable/tst_fleettable.cpp
@@ -266,3 +266,25 @@
     }
   }
 }
+
+TEST_CASE("book fills a beat up to its room in bytes and tells one entry at "
+          "least") {
+  TableBook book(1, {});
+  for (int i = 0; i < 10; ++i)
+    book.note("i-" + std::to_string(i), "m");
+  auto entryOf = [](const std::string &, uint64_t) {
+    return std::string(100, 'x');
+  };
+  FleetLink::Beat some;
+  book.tell(some, {}, {10, 350}, entryOf);
+  CHECK(some.SealedEntries.size() == 3);
+  CHECK_FALSE(some.TableComplete);
+  FleetLink::Beat one;
+  book.tell(one, {}, {10, 50}, entryOf);
+  CHECK(one.SealedEntries.size() == 1);
+  CHECK_FALSE(one.TableComplete);
+  FleetLink::Beat all;
+  book.tell(all, {}, {10, 1000}, entryOf);
+  CHECK(all.SealedEntries.size() == 10);
+  CHECK(all.TableComplete);
+}
--- a/tests/auto/gateway/gatewayworld.cpp
+++ b/tests/auto/gateway/gatewayworld.cpp
@@ -209,6 +209,7 @@
                          const Gateway::OrderFacts &facts,
                          const std::function<void(Gateway::OrderReply)> &done) {
   FakeEngine &engine = Engines[id];
+  engine.StaleOrders += facts.After < engine.Orders;
   if (engine.Busy || facts.After != engine.Orders)
     return done(Gateway::OrderReply::OutOfStep);
   ++engine.Orders;
@@ -244,6 +245,8 @@
   client.ReadReport = [this](const auto &endpoint, auto, auto done) {
     after(1ms, [this, id = endpoint.Id, done] {
       const FakeEngine &engine = Engines[id];
+      if (engine.OldReport)
+        return done(*engine.OldReport);
       Gateway::EngineReport report;
       report.Orders = engine.Orders;
       report.Busy = engine.Busy;
@@ -276,6 +279,8 @@
       if (!StoreAnswers || end != DutyEnd)
         return done(Utils::failure(Utils::Errc::Conflict, "store"));
       DutyRecord = value;
+      if (OnDutyAppended)
+        OnDutyAppended();
       done(++DutyEnd);
     });
   };
--- a/tests/auto/gateway/gatewayworld.h
+++ b/tests/auto/gateway/gatewayworld.h
@@ -67,6 +67,10 @@
   std::vector<Residency::Order> Taken;
   /// The next orders get no answer, and these are carried out all the same.
   int LostAnswers = 0;
+  /// What reports say instead, while it is set: they lag behind the orders.
+  std::optional<Gateway::EngineReport> OldReport;
+  /// Orders that were given by such a report.
+  int StaleOrders = 0;
 };
 
 /// A gateway between scripted callers and endpoints, with a store that answers
@@ -119,6 +123,10 @@
   std::list<ScriptedEndpoint> Endpoints;
   std::list<RawCaller> Callers;
   std::unique_ptr<Gateway::Process> Process;
+  /// The fleet's duty was claimed or renewed.
+  std::function<void()> OnDutyAppended;
+  void after(std::chrono::milliseconds pause,
+             const std::function<void()> &what);
 
 private:
   Gateway::Store makeStore();
@@ -127,8 +135,6 @@
   void order(const std::string &id, const Residency::Order &order,
              const Gateway::OrderFacts &facts,
              const std::function<void(Gateway::OrderReply)> &done);
-  void after(std::chrono::milliseconds pause,
-             const std::function<void()> &what);
   std::string ask(const std::string &address, const std::string &path);
   uint16_t freePort();
   /// Held until the gateway listens, lest a scripted endpoint gets them.
--- a/tests/auto/gateway/modelcalls.cpp
+++ b/tests/auto/gateway/modelcalls.cpp
@@ -92,3 +92,22 @@
   CHECK(statusOf(callModel("m0")) == 200);
   CHECK(Endpoints.front().Requests.size() == 1);
 }
+
+TEST_CASE_FIXTURE(OneEngine,
+                  "holder that takes over gives no order by a report "
+                  "that lags behind its predecessor's orders") {
+  Gateway::EngineReport old;
+  old.Models = {{"m0", 1, {}}, {"m1", 1, {}}};
+  engine().OldReport = old;
+  engine().Models = {"m0", "m2"};
+  engine().Orders = 2;
+  bool isTaken = false;
+  OnDutyAppended = [this, &isTaken] {
+    if (!std::exchange(isTaken, true))
+      after(200ms, [this] { engine().OldReport.reset(); });
+  };
+  start();
+  CHECK(statusOf(callModel("m3")) == 200);
+  CHECK(engine().StaleOrders == 0);
+  CHECK(engine().Taken.size() == 2);
+}
--- a/tests/auto/topicfeed/tst_topicfeed.cpp
+++ b/tests/auto/topicfeed/tst_topicfeed.cpp
@@ -99,3 +99,24 @@
   CHECK(Taken[0][0].Key == "a");
   CHECK(Calls[""] == 2);
 }
+
+TEST_CASE_FIXTURE(PagedTopic, "feed that is told the topic in parts does not "
+                              "read by itself") {
+  Utils::TimePoint now = Utils::BootClock::now();
+  Feed.start(now);
+  Feed.awaitRest(now, now);
+  Loop.run_for(50ms);
+  CHECK(Calls.empty());
+  Feed.resume();
+  while (Taken.empty() && Loop.run_one() > 0)
+    continue;
+  CHECK(Taken.size() == 1);
+}
+
+TEST_CASE_FIXTURE(PagedTopic, "feed whose holder's reading is old reads by "
+                              "itself all the same") {
+  Utils::TimePoint now = Utils::BootClock::now();
+  Feed.awaitRest(now - 1h, now);
+  play([this] { return !Taken.empty(); });
+  CHECK(Taken.size() == 1);
+}
