--- a/tests/auto/topicfeed/tst_topicfeed.cpp
+++ b/tests/auto/topicfeed/tst_topicfeed.cpp
@@ -13,14 +13,14 @@
 struct PagedTopic {
   PagedTopic() {
     It.ReadPage = [this](Topic, const std::string &after, Utils::TimePoint,
-                         Store::PageDone done) {
+                         const Store::PageDone &done) {
       ++Calls[after];
       asio::post(Loop, [this, after, done] { answer(after, done); });
     };
     It.ReadFrom = [this](Topic, uint64_t from, Utils::Milliseconds,
-                         Utils::TimePoint, Store::ReadDone done) {
+                         Utils::TimePoint, const Store::ReadDone &done) {
       ReadFrom = from;
-      asio::post(Loop, [this, from, done] { done(TopicRead{from, {}}); });
+      asio::post(Loop, [from, done] { done(TopicRead{from, {}}); });
     };
   }
 
