Give the successor of the takeover test a world of its own

Change: the first holder runs in a world of its own, whose record of the duty the successor's world begins with. What is checked stays the same. Ruled out: a fault of the change that it tests; no frame of it in the trace.

--- a/tests/auto/gateway/modelcalls.cpp
+++ b/tests/auto/gateway/modelcalls.cpp
@@ -1,6 +1,7 @@
 #include "gatewayworld.h"
 
 #include <doctest/doctest.h>
+#include <utility>
 
 using namespace std::chrono_literals;
 using Fleet::RouteKind;
@@ -8,15 +9,14 @@
 
 namespace {
 
-/// A gateway before one model engine that holds m0 and m1 and has room for no
-/// third model.
-struct OneEngine : GatewayWorld {
-  OneEngine() {
+/// A gateway, not started yet, before one model engine that holds m0 and m1 and
+/// has room for no third model.
+struct EngineWorld : GatewayWorld {
+  EngineWorld() {
     addEngine("s", 4);
     addRoute("/model/", "s", RouteKind::Streaming);
     addEndpoint("s", {"m0", "m1"});
     Reports[0].OnDisk = {"m0", "m1", "m2", "m3"};
-    start();
   }
   FakeEngine &engine() { return Engines["i-1"]; }
   RawCaller &callModel(const std::string &model) {
@@ -25,6 +25,31 @@
   }
 };
 
+struct OneEngine : EngineWorld {
+  OneEngine() { start(); }
+};
+
+/// A gateway on a VM whose earlier process held the duty and exchanged m1 for
+/// m2; the engine's report does not show that yet.
+struct Successor : EngineWorld {
+  Successor() {
+    OneEngine before;
+    before.runUntil([&] { return before.DutyRecord.has_value(); });
+    DutyRecord = before.DutyRecord;
+    DutyEnd = before.DutyEnd;
+    engine().OldReport.emplace();
+    engine().OldReport->Models = {{"m0", 1, {}}, {"m1", 1, {}}};
+    engine().Models = {"m0", "m2"};
+    engine().Orders = 2;
+    OnDutyAppended = [this] {
+      if (!std::exchange(Claimed, true))
+        after(200ms, [this] { engine().OldReport.reset(); });
+    };
+    start();
+  }
+  bool Claimed = false;
+};
+
 } // namespace
 
 TEST_CASE_FIXTURE(OneEngine, "call of a model that no engine holds waits until "
@@ -93,20 +118,9 @@
   CHECK(Endpoints.front().Requests.size() == 1);
 }
 
-TEST_CASE_FIXTURE(OneEngine,
+TEST_CASE_FIXTURE(Successor,
                   "holder that takes over gives no order by a report "
                   "that lags behind its predecessor's orders") {
-  Gateway::EngineReport old;
-  old.Models = {{"m0", 1, {}}, {"m1", 1, {}}};
-  engine().OldReport = old;
-  engine().Models = {"m0", "m2"};
-  engine().Orders = 2;
-  bool isTaken = false;
-  OnDutyAppended = [this, &isTaken] {
-    if (!std::exchange(isTaken, true))
-      after(200ms, [this] { engine().OldReport.reset(); });
-  };
-  start();
   CHECK(statusOf(callModel("m3")) == 200);
   CHECK(engine().StaleOrders == 0);
   CHECK(engine().Taken.size() == 2);
