Keep holders of the duty from giving orders by turns

A went on beyond its lease while the store was away for all; when it came back B claimed at once, found A stronger and handed over. Ruled out: two claims that both took effect (appends are conditional), and late orders (answers within 40 ms).

Change: the record names former holders with ages; who held the duty within three lease_ms pauses for lease_ms after the holder between. Going on beyond the lease needs the word of all gateways where engines ignore tokens, with its age by the beat that it echoes; a successor that had missed the store pauses until its predecessor must have heard.

--- a/src/libs/duty/duty.h
+++ b/src/libs/duty/duty.h
@@ -10,12 +10,21 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace Duty {
 
 using Utils::Milliseconds;
 using Utils::TimePoint;
 
+/// A VM that held the duty before the holder that a record names.
+struct FormerHolder {
+  std::string Name;
+  /// Time since its term ended, when the record was written.
+  uint32_t EndedMs = 0;
+  bool operator==(const FormerHolder &) const = default;
+};
+
 /// What a claim or a renewal writes to the store.
 struct Record {
   std::string Holder;
@@ -27,6 +36,8 @@
   bool Released = false;
   /// Gateways of the fleet as the holder counted them; 0: not yet known.
   uint32_t Members = 0;
+  /// Those of the last TurnMemory, each once.
+  std::vector<FormerHolder> Former{};
 };
 
 struct Policy {
@@ -42,6 +53,21 @@
   /// failed.
   Milliseconds CallEvery{300};
   Milliseconds RetryAfter{500};
+  /// A VM that holds the duty again gives no order within this time of the
+  /// holder between: engines that ignore tokens would get orders from both by
+  /// turns. From the operators' bounds.
+  Milliseconds TurnPause{3000};
+  /// How long a VM counts as a former holder; three times the bound on turns,
+  /// since terms may be shorter than it.
+  Milliseconds TurnMemory{9000};
+  /// Word of another gateway that is older says nothing of it: two reports.
+  Milliseconds WitnessLifetime{1000};
+  /// How long a gateway that was heard of before may still be alive, unheard.
+  Milliseconds WitnessMemory{10000};
+  /// A new holder to which the store did not answer before gives no order for
+  /// this time: its predecessor may have gone on beyond its lease until it
+  /// hears that the store is back, within WitnessLifetime and a beat.
+  Milliseconds AfterOutage{1250};
 };
 
 /// What this VM knows of the duty.
@@ -77,6 +103,18 @@
   bool HandingOver = false;
   /// Time that it leaves stronger VMs for a claim.
   Milliseconds ClaimDelay{0};
+
+  /// When Newest became known here, from which the ages in it count on.
+  TimePoint LearnedAt{};
+  /// This VM, as the holder, gives no order before this point.
+  TimePoint OrdersFrom{};
+  /// A call to the store has failed and none was answered since.
+  bool StoreMissed = false;
+  /// When the store answered after that.
+  TimePoint StoreBackAt{};
+  /// Until then a holder whose lease has run out may go on, and is likely to
+  /// renew it.
+  TimePoint HolderActsUntil{};
 };
 
 enum class Step : uint8_t { Wait, Read, Claim, Renew, Release };
@@ -90,28 +128,67 @@
 /// Notes that a call to the store is sent.
 void begin(Watch &watch, const Policy &policy, Step step, TimePoint now);
 
+/// Former holders as the newest record names them, with their ages as of now.
+std::vector<FormerHolder> formerHolders(const Watch &watch,
+                                        const Policy &policy, TimePoint now);
+
 /// The record to append for a step.
-Record recordFor(const Watch &watch, Step step);
+Record recordFor(const Watch &watch, const Policy &policy, Step step,
+                 TimePoint now);
 
 /// The store was read.
 void noteRead(Watch &watch, std::optional<Record> newest, uint64_t end,
-              TimePoint sentAt);
+              TimePoint now);
 
 /// A claim, renewal or release that was sent at `sentAt` was accepted; the
 /// topic ends at `end` now.
 void noteAccepted(Watch &watch, const Policy &policy, const Record &record,
-                  uint64_t end, TimePoint sentAt);
+                  uint64_t end, TimePoint sentAt, TimePoint now);
 
 /// The call failed, or what it did is not known: the record is read again.
 void noteFailed(Watch &watch, const Policy &policy, TimePoint now);
 
+/// Another call to the store, not for the duty, was answered or failed.
+void noteStoreCall(Watch &watch, bool answered, TimePoint now);
+
 /// The holder says that its record ends at `end` and is `age` old.
 void noteHeard(Watch &watch, const Record &record, uint64_t end,
                Milliseconds age, TimePoint now);
 
+/// The holder says that it goes on beyond its lease, while the store is away.
+void noteActing(Watch &watch, const Policy &policy, int64_t token,
+                TimePoint now);
+
 /// Whether the lease of this VM lasts.
 bool holds(const Watch &watch, TimePoint now);
 
+/// Whether engines refuse an order with a lower token than one they have seen.
+enum class Fencing : uint8_t { Checked, Ignored };
+
+/// What a holder knows of another gateway of the fleet.
+struct Witness {
+  /// When it said so, at the earliest: a VM that was suspended finds old words
+  /// waiting.
+  TimePoint SaidAt{};
+  /// Its newest call to the store has failed; whoever says so and claims the
+  /// duty later pauses before its first order.
+  bool StoreMissed = false;
+  /// It has ended, or is about to.
+  bool Leaving = false;
+};
+
+/// Whether nobody can have claimed the duty, since the store is away from all
+/// gateways. Where engines check tokens, most of them need to say so, as the
+/// others could do no harm; else all that may be alive.
+/// `fleet`: all that were heard of, this VM among them; `members`: how many
+/// there are by the newest count.
+bool isStoreAwayForAll(const std::vector<Witness> &fleet, uint32_t members,
+                       Fencing fencing, const Policy &policy, TimePoint now);
+
+/// Whether this VM may give orders: while its lease lasts, and beyond while the
+/// store is away for all, but for a pause after another holder's term.
+bool mayOrder(const Watch &watch, bool storeIsAwayForAll, TimePoint now);
+
 } // namespace Duty
 
 #endif // DUTY_DUTY_H
--- a/src/libs/fleetlink/fleetlink.cpp
+++ b/src/libs/fleetlink/fleetlink.cpp
@@ -1,6 +1,7 @@
 #include "fleetlink/fleetlink.h"
 
 #include "codec/codec.h"
+#include "duty/serialize.h"
 #include "utils/digest.h"
 
 namespace FleetLink {
@@ -23,8 +24,8 @@
 template <class Archive> void serialize(Archive &archive, Report &it) {
   archive(it.Member, it.Address, it.Incarnation, it.Sequence, it.Token,
           it.Lineage, it.TableRevision, it.TableComplete, it.EndpointsNext,
-          it.Strength, it.StoreSilentMs, it.Leaving, it.Teams, it.Waiting,
-          it.Calls, it.Loads, it.Bounces, it.Doubts);
+          it.Strength, it.StoreMissed, it.BeatStampMs, it.BeatAgeMs, it.Leaving,
+          it.Teams, it.Waiting, it.Calls, it.Loads, it.Bounces, it.Doubts);
 }
 template <class Archive> void serialize(Archive &archive, TeamTotal &it) {
   archive(it.Team, it.Level, it.Share);
@@ -42,7 +43,8 @@
 }
 template <class Archive> void serialize(Archive &archive, Beat &it) {
   archive(it.Holder, it.Address, it.Token, it.RecordEnd, it.RecordAgeMs,
-          it.Released, it.Members, it.Strongest, it.Incarnation, it.Sequence,
+          it.Released, it.Former, it.ActsBeyondLease, it.StoreMissed,
+          it.StampMs, it.Members, it.Strongest, it.Incarnation, it.Sequence,
           it.Teams, it.OperatorsNext, it.OperatorsAgeMs, it.EndpointsAgeMs,
           it.Lineage, it.TableTakenOver, it.TableFloor, it.TableSince,
           it.TableRevision, it.TableComplete, it.TableSinceListed,
@@ -53,7 +55,7 @@
 
 /// First byte of a datagram. Raised with each change of the messages, so that
 /// gateways of two versions do not misread each other.
-enum class Kind : char { Report = 3, Beat = 5 };
+enum class Kind : char { Report = 4, Beat = 6 };
 
 template <typename T> std::string encodeAs(Kind kind, const T &message) {
   return std::string(1, char(kind)) + Codec::encode(message);
--- a/src/libs/fleetlink/fleetlink.h
+++ b/src/libs/fleetlink/fleetlink.h
@@ -3,6 +3,7 @@
 
 /// Public header of the fleetlink library: the datagrams between the gateways
 /// and the holder of the fleet's duty. Each may be lost, late or doubled.
+#include "duty/duty.h"
 #include "utils/outcome.h"
 
 #include <cstdint>
@@ -85,8 +86,12 @@
   uint64_t EndpointsNext = 0;
   /// How much of the holder's work the VM could bear, against others.
   uint8_t Strength = 0;
-  /// Since when the store has not answered it.
-  uint32_t StoreSilentMs = 0;
+  /// Its newest call to the store has failed.
+  bool StoreMissed = false;
+  /// Stamp of the newest beat of the holder that it has, 0 for none, and how
+  /// long ago that came: the report is no older.
+  uint64_t BeatStampMs = 0;
+  uint32_t BeatAgeMs = 0;
   bool Leaving = false;
   /// Those that changed since the newest report that was answered.
   std::vector<TeamUse> Teams;
@@ -152,6 +157,14 @@
   uint64_t RecordEnd = 0;
   uint32_t RecordAgeMs = 0;
   bool Released = false;
+  /// Former holders as of now.
+  std::vector<Duty::FormerHolder> Former;
+  /// The holder's lease has run out and it goes on, as the store is away.
+  bool ActsBeyondLease = false;
+  /// The holder's newest call to the store has failed.
+  bool StoreMissed = false;
+  /// When the beat was made, by the holder's clock.
+  uint64_t StampMs = 0;
   uint32_t Members = 0;
   /// Greatest strength among the gateways.
   uint8_t Strongest = 0;
--- a/src/libs/gateway/dutykeeper.cpp
+++ b/src/libs/gateway/dutykeeper.cpp
@@ -1,24 +1,28 @@
 #include "gateway/dutykeeper.h"
 
 #include "codec/codec.h"
+#include "duty/serialize.h"
 #include "gateway/gatewayconstants.h"
 #include "utils/utils.h"
 
 #include <utility>
 
-namespace Duty {
+namespace Gateway {
 
-template <class Archive> void serialize(Archive &archive, Record &it) {
-  archive(it.Holder, it.Address, it.Token, it.Released, it.Members);
-}
+namespace {
 
-} // namespace Duty
+/// How many of the bounds on turns a former holder is remembered: terms may be
+/// shorter than the bound.
+constexpr int TurnsRemembered = 3;
 
-namespace Gateway {
+} // namespace
 
 DutyKeeper::DutyKeeper(asio::io_context &loop, const Store &store,
-                       std::string self, std::string address)
+                       std::string self, std::string address,
+                       Utils::Milliseconds turnPause)
     : Source(store), Wake(loop), Random(std::random_device{}()) {
+  Policy.TurnPause = turnPause;
+  Policy.TurnMemory = TurnsRemembered * turnPause;
   State.Self = std::move(self);
   State.Address = std::move(address);
 }
@@ -34,12 +38,40 @@
   return Duty::holds(State, Utils::BootClock::now());
 }
 
+bool DutyKeeper::mayOrder(bool storeIsAwayForAll) const {
+  return Duty::mayOrder(State, storeIsAwayForAll, Utils::BootClock::now());
+}
+
+std::vector<Duty::FormerHolder> DutyKeeper::formerHolders() const {
+  return Duty::formerHolders(State, Policy, Utils::BootClock::now());
+}
+
 void DutyKeeper::hear(const Duty::Record &record, uint64_t end,
                       Utils::Milliseconds age) {
   Duty::noteHeard(State, record, end, age, Utils::BootClock::now());
   noteChange();
 }
 
+void DutyKeeper::hearActing(int64_t token) {
+  Duty::noteActing(State, Policy, token, Utils::BootClock::now());
+}
+
+void DutyKeeper::noteStoreCall(bool answered) {
+  Duty::noteStoreCall(State, answered, Utils::BootClock::now());
+}
+
+void DutyKeeper::probe() {
+  Utils::TimePoint now = Utils::BootClock::now();
+  if (Probing || now < NextProbeAt)
+    return;
+  Probing = true;
+  NextProbeAt = now + Policy.CallEvery;
+  Source.ReadDuty(now + StoreAnswerLimit, [this](const auto &result) {
+    Probing = false;
+    OnStoreCall(bool(result));
+  });
+}
+
 void DutyKeeper::noteFenced() {
   State.HeldToken = 0;
   State.Known = false;
@@ -108,14 +140,15 @@
 
 void DutyKeeper::append(Duty::Step step) {
   Utils::TimePoint sentAt = Utils::BootClock::now();
-  Duty::Record record = Duty::recordFor(State, step);
+  Duty::Record record = Duty::recordFor(State, Policy, step, sentAt);
   Source.AppendDuty(
       State.End, Codec::encode(record), sentAt + StoreAnswerLimit,
       [this, record, sentAt](const Utils::Outcome<uint64_t> &end) {
+        Utils::TimePoint now = Utils::BootClock::now();
         if (end)
-          Duty::noteAccepted(State, Policy, record, *end, sentAt);
+          Duty::noteAccepted(State, Policy, record, *end, sentAt, now);
         else
-          Duty::noteFailed(State, Policy, Utils::BootClock::now());
+          Duty::noteFailed(State, Policy, now);
         noteChange();
         wake();
       });
--- a/src/libs/gateway/dutykeeper.h
+++ b/src/libs/gateway/dutykeeper.h
@@ -14,13 +14,19 @@
 class DutyKeeper {
 public:
   DutyKeeper(asio::io_context &loop, const Store &store, std::string self,
-             std::string address);
+             std::string address, Utils::Milliseconds turnPause);
 
   void start();
   /// Gives the duty up, now and for good.
   void giveUp();
   /// Another holder was heard of.
   void hear(const Duty::Record &record, uint64_t end, Utils::Milliseconds age);
+  /// That holder goes on beyond its lease.
+  void hearActing(int64_t token);
+  /// Another call to the store was answered or has failed.
+  void noteStoreCall(bool answered);
+  /// Asks the store for nothing but an answer, at most every CallEvery.
+  void probe();
   /// An engine has refused this VM's token for a higher one.
   void noteFenced();
   /// Gives the duty to a stronger VM.
@@ -30,6 +36,9 @@
 
   const Duty::Watch &watch() const { return State; }
   bool holds() const;
+  /// `storeIsAwayForAll`: by Duty::isStoreAwayForAll().
+  bool mayOrder(bool storeIsAwayForAll) const;
+  std::vector<Duty::FormerHolder> formerHolders() const;
   /// Gateways of the fleet, for the next record.
   void setMembers(uint32_t members) { State.Members = members; }
 
@@ -37,6 +46,8 @@
   std::function<void()> OnChange;
   /// Called when the record has been read.
   std::function<void()> OnRead;
+  /// Called when a probe was answered or has failed.
+  std::function<void(bool answered)> OnStoreCall;
 
 private:
   void step();
@@ -51,6 +62,8 @@
   HttpIo::Timer Wake;
   std::minstd_rand Random;
   bool Held = false;
+  bool Probing = false;
+  Utils::TimePoint NextProbeAt{};
 };
 
 } // namespace Gateway
--- a/src/libs/gateway/fleetholder.cpp
+++ b/src/libs/gateway/fleetholder.cpp
@@ -13,12 +13,6 @@
 
 /// A gateway that was not heard of for so long counts no more.
 constexpr milliseconds MemberLifetime{2000};
-/// How long a gateway that is silent counts among those that may have taken
-/// over.
-constexpr milliseconds MemberMemory{10000};
-/// A gateway reaches the store if it was answered so lately: two reads of the
-/// endpoints.
-constexpr milliseconds StoreSilence{1500};
 /// After a new holder's start, what gateways have admitted before is in the
 /// levels that it took over.
 constexpr milliseconds TakeOver{1500};
@@ -122,6 +116,9 @@
     noteUse(it, now);
   member.Newest = report;
   member.HeardAt = now;
+  if (report.Token == Token && report.BeatStampMs > 0)
+    member.SaidAt = Utils::TimePoint(
+        milliseconds(int64_t(report.BeatStampMs) + int64_t(report.BeatAgeMs)));
   for (const FleetLink::Misplaced &it : report.Bounces)
     if (Places.count(it.Endpoint) > 0) {
       changed(it.Endpoint, true);
@@ -183,26 +180,20 @@
   return most;
 }
 
-bool FleetHolder::mayAct() const { return It.Leased() || storeIsAway(); }
+bool FleetHolder::mayAct() const {
+  return It.MayOrder(!It.Leased() && storeIsAway());
+}
 
-/// Whether no gateway can have taken over: most of them still report here, and
-/// none of these reaches the store. Engines refuse orders with a lower token
-/// all the same.
 bool FleetHolder::storeIsAway() const {
-  Utils::TimePoint now = Utils::BootClock::now();
-  uint32_t known = 0;
-  uint32_t cutOff = 0;
-  for (const auto &[name, member] : Members) {
-    if (now > member.HeardAt + MemberMemory || member.Newest.Leaving)
-      continue;
-    ++known;
-    bool silent = member.Newest.StoreSilentMs >= StoreSilence.count();
-    bool heard = now < member.HeardAt + WaitingLifetime;
-    if (heard && !silent)
-      return false;
-    cutOff += heard && silent;
-  }
-  return 2 * cutOff > known;
+  std::vector<Duty::Witness> fleet;
+  fleet.reserve(Members.size());
+  for (const auto &[name, member] : Members)
+    fleet.push_back(
+        {member.SaidAt, member.Newest.StoreMissed, member.Newest.Leaving});
+  auto fencing = It.Settings.EnginesCheckTokens ? Duty::Fencing::Checked
+                                                : Duty::Fencing::Ignored;
+  return Duty::isStoreAwayForAll(fleet, It.MembersBefore, fencing,
+                                 Duty::Policy{}, Utils::BootClock::now());
 }
 
 void FleetHolder::announce(const std::string &address) {
@@ -343,6 +334,9 @@
   out.Holder = It.Settings.VmName;
   out.Token = Token;
   out.Members = liveMembers();
+  out.StampMs = uint64_t(
+      std::chrono::floor<milliseconds>(now).time_since_epoch().count());
+  out.ActsBeyondLease = !It.Leased() && mayAct();
   out.Incarnation = report.Incarnation;
   out.Sequence = report.Sequence;
   out.Strongest = strongest();
--- a/src/libs/gateway/fleetholder.h
+++ b/src/libs/gateway/fleetholder.h
@@ -37,8 +37,12 @@
     const EngineClient &Engines;
     /// Whether the lease lasts.
     std::function<bool()> Leased;
+    /// Whether orders may be given; the store may be away for all.
+    std::function<bool(bool storeIsAwayForAll)> MayOrder;
     std::function<void()> Fenced;
     std::function<ReadFacts()> HasRead;
+    /// Gateways of the fleet by the newest count of earlier holders.
+    uint32_t MembersBefore = 0;
     std::function<void(const std::string &address, const FleetLink::Beat &)>
         Send;
   };
@@ -66,6 +70,8 @@
   struct Member {
     FleetLink::Report Newest;
     Utils::TimePoint HeardAt{};
+    /// When the newest report was made, at the earliest.
+    Utils::TimePoint SaidAt{};
     /// Tokens of the gateway's teams that have been counted.
     std::map<uint32_t, int64_t> Counted;
     /// What it admitted before is in the levels that were taken over.
--- a/src/libs/gateway/fleetpart.cpp
+++ b/src/libs/gateway/fleetpart.cpp
@@ -71,12 +71,14 @@
 FleetPart::FleetPart(Context context)
     : It(std::move(context)), Address(addressOf(It.Settings)),
       Self(It.Settings.VmName, Address, randomNumber(), It.Settings.FirstStart),
-      Duty(It.Loop, It.PlatformStore, It.Settings.VmName, Address),
+      Duty(It.Loop, It.PlatformStore, It.Settings.VmName, Address,
+           It.Settings.DutyHandover),
       Link(It.Loop), ReportTimer(It.Loop), Strength(strengthOf(It.Settings)) {
   constexpr uint8_t unknown = 255;
   Duty.setClaimDelay(claimDelay(Strength, unknown) / 2);
   Duty.OnChange = [this] { onDutyChange(); };
   Duty.OnRead = [this] { onDutyRead(); };
+  Duty.OnStoreCall = [this](bool answered) { noteStoreCall(answered); };
   Link.OnReport = [this](const FleetLink::Report &report) {
     if (Holder)
       Holder->take(report);
@@ -137,8 +139,11 @@
   out.Waiting = It.Waiting();
   out.Leaving = Leaving;
   out.Strength = Strength;
-  out.StoreSilentMs = uint32_t(std::clamp<int64_t>(
-      Utils::msBetween(It.StoreAnsweredAt(), now), 0, 3600'000));
+  out.StoreMissed = Duty.watch().StoreMissed;
+  if (BeatToken == out.Token) {
+    out.BeatStampMs = BeatStampMs;
+    out.BeatAgeMs = uint32_t(Utils::msBetween(BeatAt, now));
+  }
   if (Holder) {
     Holder->take(out);
     return considerHandover();
@@ -150,6 +155,8 @@
   FleetLink::Beat out = beat;
   out.Address = Address;
   out.Released = Duty.watch().Newest && Duty.watch().Newest->Released;
+  out.Former = Duty.formerHolders();
+  out.StoreMissed = Duty.watch().StoreMissed;
   out.RecordEnd = Duty.watch().End;
   out.RecordAgeMs = uint32_t(std::max<int64_t>(
       0, Utils::msBetween(Duty.watch().RenewedBy, Utils::BootClock::now())));
@@ -166,18 +173,39 @@
   Utils::TimePoint now = Utils::BootClock::now();
   if (beat.Token >= Self.token())
     FormerAddress = beat.Address;
-  Duty.hear({beat.Holder, beat.Address, beat.Token, beat.Released},
+  Duty.hear({beat.Holder, beat.Address, beat.Token, beat.Released, beat.Members,
+             beat.Former},
             beat.RecordEnd, milliseconds(beat.RecordAgeMs));
+  if (beat.ActsBeyondLease)
+    Duty.hearActing(beat.Token);
+  if (beat.StoreMissed)
+    Duty.probe();
   Duty.setClaimDelay(claimDelay(Strength, beat.Strongest));
   auto asked = Asked.find(beat.Sequence);
   if (!Self.take(beat, It.Known.endpoints(), now) || asked == Asked.end())
     return;
+  noteStamp(beat);
   Duty.setMembers(beat.Members);
   It.Told(beat, asked->second);
   if (!Self.knowsAll())
     reportWithin(std::max(LeastInterval, PartInterval * Self.members()));
 }
 
+void FleetPart::noteStamp(const FleetLink::Beat &beat) {
+  if (beat.Token == BeatToken && beat.StampMs <= BeatStampMs)
+    return;
+  BeatToken = beat.Token;
+  BeatStampMs = beat.StampMs;
+  BeatAt = Utils::BootClock::now();
+}
+
+void FleetPart::noteStoreCall(bool answered) {
+  bool missed = Duty.watch().StoreMissed;
+  Duty.noteStoreCall(answered);
+  if (missed != Duty.watch().StoreMissed)
+    reportSoon();
+}
+
 void FleetPart::onDutyRead() {
   const auto &record = Duty.watch().Newest;
   if (!std::exchange(DutyWasRead, true) && record && record->Members > 0 &&
@@ -206,8 +234,10 @@
       It.Known,
       It.Engines,
       [this] { return Duty.holds(); },
+      [this](bool away) { return Duty.mayOrder(away); },
       [this] { Duty.noteFenced(); },
       It.HasRead,
+      Duty.watch().Members,
       [this](const auto &address, const auto &beat) { send(address, beat); }};
   Holder =
       std::make_unique<FleetHolder>(std::move(context), Duty.watch().HeldToken,
--- a/src/libs/gateway/fleetpart.h
+++ b/src/libs/gateway/fleetpart.h
@@ -22,8 +22,6 @@
     const EngineClient &Engines;
     /// Calls that wait at this gateway.
     std::function<std::vector<FleetLink::WaitingCalls>()> Waiting;
-    /// When the store answered last.
-    std::function<Utils::TimePoint()> StoreAnsweredAt;
     /// This VM is the holder now.
     std::function<void()> TookDuty;
     /// The fleet is small enough for each gateway to read the store by itself.
@@ -42,6 +40,8 @@
   /// All endpoints have been read from the store, up to that offset.
   void onListed(uint64_t next);
   void onConfiguration();
+  /// A call to the store was answered or has failed.
+  void noteStoreCall(bool answered);
   void leave();
 
   FleetMember &member() { return Self; }
@@ -57,6 +57,7 @@
   Utils::Milliseconds reportInterval() const;
   void send(const std::string &address, const FleetLink::Beat &beat);
   void takeBeat(const FleetLink::Beat &beat);
+  void noteStamp(const FleetLink::Beat &beat);
   void considerHandover();
   void onDutyChange();
 
@@ -72,6 +73,10 @@
   Utils::TimePoint ReportedAt{};
   /// When the newest reports were sent, by sequence.
   std::map<uint64_t, Utils::TimePoint> Asked;
+  /// Stamp of the newest beat, the token of its holder, and when it came.
+  uint64_t BeatStampMs = 0;
+  int64_t BeatToken = 0;
+  Utils::TimePoint BeatAt{};
   /// Where the newest holder was heard of.
   std::string FormerAddress;
   bool Leaving = false;
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -44,8 +44,6 @@
   FleetPart Part;
   std::map<std::string, Balance::RetryBudget> RetryBudgets;
   std::mt19937_64 Random;
-  /// When the store answered last.
-  std::function<Utils::TimePoint()> StoreAnsweredAt;
   std::function<void()> TookDuty;
   std::function<void()> IsSmall;
   std::function<ReadFacts()> HasRead;
--- a/src/libs/gateway/gatewaysettings.h
+++ b/src/libs/gateway/gatewaysettings.h
@@ -45,6 +45,8 @@
   Milliseconds EndpointDrain{2000};
   /// Two holders of a duty must be apart by this.
   Milliseconds DutyHandover{3000};
+  /// Engines refuse orders with a lower token than one that they have seen.
+  bool EnginesCheckTokens = false;
   /// Orders of a VM that was suspended may still arrive for this long.
   Milliseconds ThawSlack{300};
   /// Sends beyond the first, as a share of the calls of a service.
--- a/src/libs/gateway/process.cpp
+++ b/src/libs/gateway/process.cpp
@@ -33,8 +33,7 @@
     : Loop(loop), Settings(std::move(settings)), Wire(std::move(outside)),
       Connections(loop), Known(Wire.PlatformStore), Waiting(loop),
       Part({loop, Settings, Known, Board, Wire.PlatformStore, Wire.Engines,
-            [this] { return Waiting.summary(); },
-            [this] { return StoreAnsweredAt(); }, [this] { TookDuty(); },
+            [this] { return Waiting.summary(); }, [this] { TookDuty(); },
             [this] { IsSmall(); }, [this] { return HasRead(); },
             [this](const auto &beat, auto asOf) { Told(beat, asOf); }}),
       Random(std::random_device{}()) {
@@ -80,9 +79,11 @@
               State.Part.onListed(Endpoints.next());
           }),
       Signals(loop, SIGTERM, SIGINT), HouseTimer(loop), LeaveTimer(loop) {
-  State.StoreAnsweredAt = [this] {
-    return std::max(Configurations.completeUntil(), Endpoints.completeUntil());
+  auto noteStoreCall = [this](bool answered) {
+    State.Part.noteStoreCall(answered);
   };
+  Configurations.OnStoreCall = noteStoreCall;
+  Endpoints.OnStoreCall = noteStoreCall;
   State.TookDuty = [this] {
     Configurations.resume();
     Endpoints.resume();
--- a/src/libs/gateway/topicfeed.cpp
+++ b/src/libs/gateway/topicfeed.cpp
@@ -72,6 +72,7 @@
 }
 
 void TopicFeed::noteAnswer() {
+  OnStoreCall(true);
   if (Failures > 0)
     Utils::Event("dependency_regained")
         .with("dependency", topicLabel(Steps.Source))
@@ -99,7 +100,9 @@
 }
 
 void TopicFeed::onFailure(const Utils::Failure &failure) {
-  if (failure.Code == Utils::Errc::OutOfRange)
+  bool deleted = failure.Code == Utils::Errc::OutOfRange;
+  OnStoreCall(deleted);
+  if (deleted)
     restart(); // Records were deleted before they were read.
   if (Failures++ == 0)
     Utils::Event("dependency_lost")
--- a/src/libs/gateway/topicfeed.h
+++ b/src/libs/gateway/topicfeed.h
@@ -48,6 +48,9 @@
   bool isComplete() const { return Complete; }
   bool hasRead() const { return Complete || Heard; }
 
+  /// Called when a read was answered or has failed.
+  std::function<void(bool answered)> OnStoreCall = [](bool) {};
+
 private:
   void read();
   void readPage(Utils::TimePoint now);
--- a/tests/auto/duty/tst_duty.cpp
+++ b/tests/auto/duty/tst_duty.cpp
@@ -31,7 +31,8 @@
   }
   void claim() {
     begin(It, Agreed, Step::Claim, Now);
-    noteAccepted(It, Agreed, recordFor(It, Step::Claim), It.End + 1, Now);
+    noteAccepted(It, Agreed, recordFor(It, Agreed, Step::Claim, Now),
+                 It.End + 1, Now, Now);
     Now += Agreed.CallEvery;
   }
   Record other(int64_t token) const {
@@ -62,7 +63,7 @@
   CHECK(next() == Step::Read); // Perhaps it was renewed unheard.
   read(other(4), 10);
   CHECK(next() == Step::Claim);
-  CHECK(recordFor(It, Step::Claim).Token == 5);
+  CHECK(recordFor(It, Agreed, Step::Claim, Now).Token == 5);
 }
 
 TEST_CASE_FIXTURE(One, "renewal that is read only counts from then") {
@@ -117,7 +118,8 @@
   It.GivingUp = true;
   CHECK(next() == Step::Release);
   begin(It, Agreed, Step::Release, Now);
-  noteAccepted(It, Agreed, recordFor(It, Step::Release), It.End + 1, Now);
+  noteAccepted(It, Agreed, recordFor(It, Agreed, Step::Release, Now),
+               It.End + 1, Now, Now);
   Now += 10s;
   CHECK_FALSE(holds(It, Now));
   CHECK(next() == Step::Wait);
@@ -141,7 +143,8 @@
   It.HandingOver = true;
   CHECK(next() == Step::Release);
   begin(It, Agreed, Step::Release, Now);
-  noteAccepted(It, Agreed, recordFor(It, Step::Release), It.End + 1, Now);
+  noteAccepted(It, Agreed, recordFor(It, Agreed, Step::Release, Now),
+               It.End + 1, Now, Now);
   CHECK_FALSE(holds(It, Now));
   It.ClaimDelay = 1s;
   CHECK(next() == Step::Wait);
@@ -154,7 +157,7 @@
   read(Record{"a", "10.0.0.1:1", 7, false}, 9);
   CHECK(next() == Step::Claim);
   CHECK(nextStepAt(It, Agreed) <= Now);
-  CHECK(recordFor(It, Step::Claim).Token == 8);
+  CHECK(recordFor(It, Agreed, Step::Claim, Now).Token == 8);
 }
 
 namespace {
@@ -185,7 +188,7 @@
   }
 
   void append(Vm &vm, Step step) {
-    Record record = recordFor(vm.It, step);
+    Record record = recordFor(vm.It, Agreed, step, Now);
     uint64_t at = vm.It.End;
     TimePoint sentAt = Now;
     begin(vm.It, Agreed, step, Now);
@@ -204,7 +207,7 @@
           if (std::exchange(Open[&vm], 0) != call)
             return;
           if (accepted)
-            noteAccepted(vm.It, Agreed, record, end, sentAt);
+            noteAccepted(vm.It, Agreed, record, end, sentAt, Now);
           else
             noteFailed(vm.It, Agreed, Now);
         });
