Bound heads, fields and chunk lines that never end

Cause: Beast holds its limit on heads against the bytes that it is given at once. Small fields that come one by one, and the size line of a chunk, were kept without end: a test endpoint that sends them made the gateway read 1.8 GB until the call's deadline. The same held for requests of callers.

Change: both parsers add up the bytes of fields, trailers included, and give up a line of more than 64 KB that has no end.

--- a/src/libs/http/requestparser.cpp
+++ b/src/libs/http/requestparser.cpp
@@ -11,6 +11,7 @@
 
 class Parser : public boost::beast::http::basic_parser<true> {
 public:
+  explicit Parser(size_t headLimitBytes) : Fields(headLimitBytes) {}
   Request Result;
 
 private:
@@ -21,7 +22,8 @@
   }
   void on_response_impl(int, Text, int, ErrorCode &) override {}
   void on_field_impl(boost::beast::http::field, Text name, Text value,
-                     ErrorCode &) override {
+                     ErrorCode &ec) override {
+    Fields.add(name, value, ec);
     Result.Headers.add(Internal::view(name), Internal::view(value));
   }
   void on_header_impl(ErrorCode &) override {}
@@ -37,6 +39,8 @@
     return body.size();
   }
   void on_finish_impl(ErrorCode &) override {}
+
+  Internal::FieldMeter Fields;
 };
 
 RequestState stateOf(const ErrorCode &ec) {
@@ -53,7 +57,7 @@
 } // namespace
 
 struct RequestParser::Content {
-  explicit Content(RequestLimits limits) {
+  explicit Content(RequestLimits limits) : Impl(limits.HeaderBytes) {
     Impl.eager(true);
     Impl.header_limit(limits.HeaderBytes);
     Impl.body_limit(limits.BodyBytes);
--- a/src/libs/http/responseparser.cpp
+++ b/src/libs/http/responseparser.cpp
@@ -14,6 +14,7 @@
 
 class Parser : public boost::beast::http::basic_parser<false> {
 public:
+  Parser() : Fields(HeadLimitBytes) {}
   ResponseHead Head;
   std::string *Body = nullptr;
 
@@ -25,7 +26,8 @@
     Head.Reason = Internal::view(reason);
   }
   void on_field_impl(boost::beast::http::field, Text name, Text value,
-                     ErrorCode &) override {
+                     ErrorCode &ec) override {
+    Fields.add(name, value, ec);
     Head.Headers.add(Internal::view(name), Internal::view(value));
   }
   void on_header_impl(ErrorCode &) override {}
@@ -41,6 +43,8 @@
     return body.size();
   }
   void on_finish_impl(ErrorCode &) override {}
+
+  Internal::FieldMeter Fields;
 };
 
 } // namespace
--- a/src/libs/httpio/fetch.cpp
+++ b/src/libs/httpio/fetch.cpp
@@ -1,5 +1,7 @@
 #include "httpio/fetch.h"
 
+#include "httpio/httpioconstants.h"
+
 namespace HttpIo {
 
 namespace {
@@ -28,15 +30,24 @@
       self->Result.Head = head;
       return HeadVerdict::Accept;
     };
-    events.OnBody = [self](std::string_view data) {
-      self->Result.Body += data;
-    };
+    events.OnBody = [self](std::string_view data) { self->take(data); };
     events.OnEnd = [self](ExchangeEnd end) { self->finish(end); };
     Connection->exchange(address, Http::requestText(request),
                          std::move(events));
   }
 
 private:
+  void take(std::string_view data) {
+    Result.Body += data;
+    if (Result.Body.size() <= LargestFetchBytes)
+      return;
+    Deadline.cancel();
+    Connection->cancel();
+    report(Utils::failure(Errc::UnknownResult,
+                          Peer + ": response of more than " +
+                              std::to_string(LargestFetchBytes) + " bytes"));
+  }
+
   void timeOut() {
     if (!Done)
       return;
--- a/src/libs/httpio/httpioconstants.h
+++ b/src/libs/httpio/httpioconstants.h
@@ -9,6 +9,10 @@
 /// Bytes read at once; most requests and answers of the sites fit into it.
 constexpr size_t ReadBytes = 4096;
 
+/// Most bytes of a fetched response. A page of the store holds 1 MB, which its
+/// encoding makes a third larger.
+constexpr size_t LargestFetchBytes = 8 << 20;
+
 /// Bytes that may wait for a caller who does not read, about a hundred times
 /// a long stream of the sites; more breaks the connection.
 constexpr size_t CallerBacklogBytes = 1 << 20;
--- a/tests/auto/http/tst_http.cpp
+++ b/tests/auto/http/tst_http.cpp
@@ -86,6 +86,23 @@
         RequestState::BodyTooLarge);
 }
 
+TEST_CASE_FIXTURE(Requests, "head of many small fields that come one by one is "
+                            "over the limit in sum") {
+  RequestState state = feed("GET / HTTP/1.1\r\n");
+  for (int i = 0; i < 60 && state == RequestState::Incomplete; ++i)
+    state = feed("A: b\r\n");
+  CHECK(state == RequestState::HeadTooLarge);
+}
+
+TEST_CASE_FIXTURE(Requests, "trailer of many small fields is over the limit") {
+  RequestState state = feed(
+      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n");
+  for (int i = 0; i < 20'000 && state == RequestState::Incomplete; ++i)
+    state = feed("A: b\r\n");
+  CHECK(state != RequestState::Incomplete);
+  CHECK(state != RequestState::Complete);
+}
+
 TEST_CASE_FIXTURE(Requests, "chunked body over the limit is refused") {
   CHECK(feed("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
              "15\r\n" +
@@ -129,6 +146,29 @@
   CHECK(feed("#!garbage\r\n\r\n") == ResponseState::Malformed);
 }
 
+TEST_CASE_FIXTURE(Responses, "head of small fields without end is malformed "
+                             "before it fills the memory") {
+  feed("HTTP/1.1 200 OK\r\n");
+  size_t bytes = 0;
+  auto state = ResponseState::Head;
+  for (; bytes < 1 << 20 && state == ResponseState::Head; bytes += 6)
+    state = feed("A: b\r\n");
+  CHECK(state == ResponseState::Malformed);
+  CHECK(bytes <= 20'000);
+}
+
+TEST_CASE_FIXTURE(Responses,
+                  "size line of a chunk without end is malformed before "
+                  "it fills the memory") {
+  feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;x=");
+  size_t bytes = 0;
+  auto state = ResponseState::Body;
+  for (; bytes < 1 << 20 && state == ResponseState::Body; bytes += 1000)
+    state = feed(std::string(1000, 'y'));
+  CHECK(state == ResponseState::Malformed);
+  CHECK(bytes <= 100'000);
+}
+
 TEST_CASE("response keeps its idle time and its wish to close") {
   Fields headers;
   CHECK_FALSE(keepAliveSeconds(headers));
