Show that the part left to silent gateways keeps a large team's bound

Cause: with that part taken out all of tst_fleetlimits stayed green; its team is small against the operators' slack.

Change: a case with a team of 200,000 tokens a second and four of nine gateways cut off for 6 s. Before, without the part: 9,704 tokens over the bound; with it: none.

Conclusion: the guard has a test of its own now.

--- a/tests/auto/fleetlimits/tst_fleetlimits.cpp
+++ b/tests/auto/fleetlimits/tst_fleetlimits.cpp
@@ -209,6 +209,20 @@
   }
 }
 
+TEST_CASE(
+    "limit of a large team holds while four of nine gateways are cut off "
+    "from the holder") {
+  LimitsFleet::Setup setup = fleetOf(9, 0);
+  setup.Rate = setup.Burst = 200'000;
+  setup.Offered = 3 * setup.Rate;
+  LimitsFleet fleet(setup, 1);
+  fleet.run(6s);
+  for (size_t i = 1; i <= 4; ++i)
+    fleet.cut((fleet.holder() + i) % 9, 6s);
+  fleet.run(12s);
+  CHECK(fleet.mostOverAllowed() < 0);
+}
+
 TEST_CASE("limit holds when a team far over it loses the holder, and when it "
           "becomes so just then") {
   for (size_t gateways : {8, 195}) {
