Look on the gateway for what went wrong at other operators

Cause: the tests of late copies, planned stops, slow and stalled streams, broken answers and restarts were those of the daemon that the users do not run.

Change: troubles.cpp plays each on the gateway.

--- a/src/libs/gateway/callsend.cpp
+++ b/src/libs/gateway/callsend.cpp
@@ -213,7 +213,8 @@
     return HttpIo::HeadVerdict::Skip;
   State.noteNotice(EndpointId, reply.Notice);
   NotRun = reply.NotRun;
-  HeadIsAnswer = reply.Genuine && !NotRun;
+  // One that names no call may be a late copy of another's.
+  HeadIsAnswer = reply.Genuine && !NotRun && reply.CallId == Facts.Id;
   Head = head;
   if (HeadIsAnswer) {
     auto took = Utils::BootClock::now() - SentAt;
--- a/tests/auto/gateway/gatewayworld.cpp
+++ b/tests/auto/gateway/gatewayworld.cpp
@@ -83,8 +83,13 @@
   Script script = Scripts.front();
   Scripts.pop_front();
   const std::string *id = request.Headers.find("Request-Id");
-  for (size_t at; (at = script.Text.find("@ID@")) != std::string::npos;)
-    script.Text.replace(at, 4, id ? *id : "");
+  auto name = [&](std::string &text) {
+    for (size_t at; (at = text.find("@ID@")) != std::string::npos;)
+      text.replace(at, 4, id ? *id : "");
+  };
+  name(script.Text);
+  for (std::string &it : script.Parts)
+    name(it);
   peer->Output = script.Text;
   asio::async_write(peer->Socket, asio::buffer(peer->Output),
                     [this, peer, script](const std::error_code &, size_t) {
@@ -104,13 +109,19 @@
   auto timer = std::make_shared<HttpIo::Timer>(peer->Socket.get_executor(),
                                                script.Pause);
   timer->async_wait([this, peer, script, timer](const std::error_code &) {
+    Script rest = script;
     peer->Output = script.Again;
+    if (!script.Parts.empty()) {
+      peer->Output = rest.Parts.front();
+      rest.Parts.pop_front();
+    }
+    bool goesOn = script.Parts.empty() || !rest.Parts.empty();
     asio::async_write(
         peer->Socket, asio::buffer(peer->Output),
-        [this, peer, script](const std::error_code &ec, size_t n) {
+        [this, peer, rest, goesOn](const std::error_code &ec, size_t n) {
           Flooded += n;
-          if (!ec)
-            repeat(peer, script);
+          if (!ec && goesOn)
+            repeat(peer, rest);
         });
   });
 }
--- a/tests/auto/gateway/gatewayworld.h
+++ b/tests/auto/gateway/gatewayworld.h
@@ -18,6 +18,8 @@
   std::string Again{};
   /// Pause before each time.
   std::chrono::milliseconds Pause{0};
+  /// Sent one after the other instead, and then nothing.
+  std::deque<std::string> Parts{};
 };
 
 /// An endpoint on a loopback port that plays the next script of `scripts` for
--- /dev/null
+++ b/tests/auto/gateway/servedworld.h
@@ -0,0 +1,41 @@
+#ifndef TESTS_SERVEDWORLD_H
+#define TESTS_SERVEDWORLD_H
+
+#include "gatewayworld.h"
+
+#include <string>
+
+inline const std::string StreamHead =
+    "HTTP/1.1 200 OK\r\nRequest-Id: @ID@\r\nResponse-Seal: s\r\n"
+    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+inline std::string chunk(const std::string &data) {
+  std::string text;
+  Http::appendChunk(text, data);
+  return text;
+}
+
+inline std::string event(int id) {
+  return "id: " + std::to_string(id) + "\ndata: x\n\n";
+}
+
+/// A gateway before two endpoints of a service, with a route of each kind.
+struct Served : GatewayWorld {
+  Served() {
+    addRoute("/safe/", "s", Fleet::RouteKind::Safe);
+    addRoute("/once/", "s", Fleet::RouteKind::Unsafe);
+    addRoute("/stream/", "s", Fleet::RouteKind::Streaming);
+    addRoute("/resume/", "s", Fleet::RouteKind::Streaming).Resumable = true;
+    addEndpoint("s");
+    addEndpoint("s");
+    start();
+  }
+  ScriptedEndpoint &first() { return Endpoints.front(); }
+  ScriptedEndpoint &second() { return Endpoints.back(); }
+  void script(const Script &script) { Scripts = {script}; }
+  size_t arrivals() {
+    return first().Requests.size() + second().Requests.size();
+  }
+};
+
+#endif // TESTS_SERVEDWORLD_H
--- /dev/null
+++ b/tests/auto/gateway/troubles.cpp
@@ -0,0 +1,174 @@
+#include "servedworld.h"
+
+#include <doctest/doctest.h>
+
+using namespace std::chrono_literals;
+using Then = Script::Then;
+
+namespace {
+
+/// One endpoint, so that all calls of a kind go over one connection.
+struct OneEndpoint : Served {
+  OneEndpoint() { retire("i-2"); }
+  RawCaller &callOnce(const std::string &headers = "") {
+    return call("/once/", "Content-Length: 0\r\n" + headers, "POST");
+  }
+};
+
+/// A gateway that starts when an endpoint has said that it leaves and a key is
+/// withdrawn.
+struct Restarted : GatewayWorld {
+  Restarted() {
+    addRoute("/safe/", "s", Fleet::RouteKind::Safe);
+    addEndpoint("s");
+    addEndpoint("s");
+    Reports[0].State = Fleet::EndpointState::Draining;
+    Reports[0].Sequence = 9;
+    Fleet::Team team;
+    team.Name = "kitchen";
+    team.Keys = {"k"};
+    Config.Teams = {team};
+    start();
+  }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(OneEndpoint, "second copy of an answer that comes late, on a "
+                               "connection in use again, is not the next "
+                               "caller's") {
+  Scripts = {{answer(200, "mine")},
+             // The copy comes with the next request, before its answer.
+             {"HTTP/1.1 200 OK\r\nRequest-Id: q1\r\nResponse-Seal: s\r\n"
+              "Content-Length: 4\r\n\r\nmine" +
+              answer(200, "next")}};
+  CHECK(statusOf(callOnce()) == 200);
+  RawCaller &caller = callOnce();
+  CHECK(statusOf(caller) == 200);
+  CHECK(first().Accepted == 1);
+  CHECK(caller.Received.find("mine") == std::string::npos);
+  CHECK(caller.Received.find("next") != std::string::npos);
+}
+
+TEST_CASE_FIXTURE(OneEndpoint, "answer that names no request is nobody's") {
+  script({"HTTP/1.1 200 OK\r\nResponse-Seal: s\r\nContent-Length: "
+          "3\r\n\r\nold"});
+  RawCaller &caller = callOnce();
+  CHECK(statusOf(caller) == 502);
+  CHECK(caller.Received.find("old") == std::string::npos);
+}
+
+TEST_CASE_FIXTURE(OneEndpoint,
+                  "copy of a streamed answer is not mixed into the "
+                  "next stream") {
+  std::string whole = StreamHead + chunk(event(1)) + "0\r\n\r\n";
+  std::string copy = whole;
+  copy.replace(copy.find("@ID@"), 4, "q1");
+  Scripts = {{whole}, {copy + StreamHead + chunk(event(7)) + "0\r\n\r\n"}};
+  CHECK(statusOf(call("/stream/")) == 200);
+  RawCaller &caller = call("/stream/");
+  CHECK(statusOf(caller) == 200);
+  CHECK(caller.Received.find("id: 7") != std::string::npos);
+  CHECK(caller.Received.find("id: 1") == std::string::npos);
+}
+
+TEST_CASE_FIXTURE(Served,
+                  "planned stop cuts neither what was accepted before nor "
+                  "what comes on open connections") {
+  Script slow{"", Then::Repeat, "", 200ms};
+  slow.Parts = {answer(200, "slow")};
+  Scripts = {slow, {answer(200, "later")}};
+  RawCaller &accepted = call("/once/", "Content-Length: 0\r\n", "POST");
+  RawCaller &open = connect();
+  runUntil([&] { return arrivals() == 1; });
+  Process->leave();
+  open.send(requestText("/safe/", "q99", "", "GET"));
+  CHECK(statusOf(open) == 200);
+  CHECK(open.Received.find("later") != std::string::npos);
+  CHECK(statusOf(accepted) == 200);
+  CHECK(accepted.Received.find("slow") != std::string::npos);
+}
+
+TEST_CASE_FIXTURE(Served, "slow but sound stream comes whole") {
+  Script slow{StreamHead, Then::Repeat, "", 60ms};
+  slow.Parts = {chunk(event(1)), chunk(event(2)), chunk(event(3)),
+                chunk(event(4)), chunk(event(5)), "0\r\n\r\n"};
+  script(slow);
+  RawCaller &caller = call("/stream/");
+  CHECK(statusOf(caller) == 200);
+  for (int i = 1; i <= 5; ++i)
+    CHECK(caller.Received.find("id: " + std::to_string(i) + "\n") !=
+          std::string::npos);
+}
+
+TEST_CASE_FIXTURE(Served,
+                  "stream that stalls with a byte now and then ends with "
+                  "its deadline, and does not look complete") {
+  script({StreamHead + chunk(event(1)), Then::Repeat, chunk(":"), 10ms});
+  RawCaller &caller = call("/stream/", "Deadline-Milliseconds: 300\r\n");
+  runUntil([&] { return caller.Ended; });
+  CHECK(caller.Received.find("id: 1") != std::string::npos);
+  CHECK(caller.Received.find("\r\n0\r\n\r\n") == std::string::npos);
+  runUntil([&] { return first().Ended + second().Ended > 0; });
+}
+
+TEST_CASE_FIXTURE(Served,
+                  "answers that break off halfway never look complete") {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nRequest-Id: @ID@\r\nResponse-Seal: s\r\n";
+  for (const std::string &text :
+       {head + "Content-Length: 10\r\n\r\nhalf",
+        head + "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+        head + "Transfer-Encoding: chunked\r\n\r\na\r\nhalf", head,
+        std::string("HTTP/1.1 200 OK\r\nReq")})
+    for (Then how : {Then::Close, Then::Reset}) {
+      CAPTURE(text);
+      script({text, how});
+      RawCaller &caller = call("/once/", "Content-Length: 0\r\n", "POST");
+      CHECK(statusOf(caller) == 502);
+    }
+  // Without a length only an orderly end is one.
+  script({head + "\r\nhalf", Then::Reset});
+  CHECK(statusOf(call("/once/", "Content-Length: 0\r\n", "POST")) == 502);
+}
+
+TEST_CASE_FIXTURE(Restarted,
+                  "restarted gateway uses neither an endpoint that has "
+                  "left nor a withdrawn key") {
+  CHECK(statusOf(call("/safe/", "Credential: withdrawn\r\n")) == 401);
+  for (int i = 0; i < 20; ++i) {
+    Scripts = {{answer(200, "ok")}};
+    CHECK(statusOf(call("/safe/", "Credential: k\r\n")) == 200);
+  }
+  CHECK(Endpoints.front().Requests.empty());
+}
+
+TEST_CASE_FIXTURE(Restarted,
+                  "restarted gateway that is told of an endpoint by an "
+                  "older report does not use it again") {
+  Reports[0].State = Fleet::EndpointState::Ready;
+  --Reports[0].Sequence;
+  publish();
+  for (int i = 0; i < 20; ++i) {
+    Scripts = {{answer(200, "ok")}};
+    CHECK(statusOf(call("/safe/", "Credential: k\r\n")) == 200);
+  }
+  CHECK(Endpoints.front().Requests.empty());
+}
+
+TEST_CASE_FIXTURE(Served,
+                  "after a lost answer work that may have run is neither run "
+                  "again nor said not to have run") {
+  Config.Routes[1].Attempts = 3;
+  publish();
+  for (const Script &it : {Script{"", Then::Reset}, Script{"", Then::Close},
+                           Script{"HTTP/1.1 200 OK\r\n", Then::Close},
+                           Script{"HTTP/1.1 503 Busy\r\nRequest-Id: @ID@\r\n"
+                                  "Content-Length: 0\r\n\r\n"},
+                           Script{"nonsense\r\n\r\n", Then::Close}}) {
+    size_t before = arrivals();
+    script(it);
+    CHECK(statusOf(call("/once/", "Content-Length: 0\r\n", "POST")) == 502);
+    CHECK(arrivals() == before + 1);
+  }
+}
--- a/tests/auto/gateway/tst_gateway.cpp
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -1,4 +1,4 @@
-#include "gatewayworld.h"
+#include "servedworld.h"
 
 #include <doctest/doctest.h>
 
@@ -6,43 +6,6 @@
 using Fleet::RouteKind;
 using Then = Script::Then;
 
-namespace {
-
-const std::string StreamHead =
-    "HTTP/1.1 200 OK\r\nRequest-Id: @ID@\r\nResponse-Seal: s\r\n"
-    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
-
-std::string chunk(const std::string &data) {
-  std::string text;
-  Http::appendChunk(text, data);
-  return text;
-}
-
-std::string event(int id) {
-  return "id: " + std::to_string(id) + "\ndata: x\n\n";
-}
-
-/// A gateway before two endpoints of a service, with a route of each kind.
-struct Served : GatewayWorld {
-  Served() {
-    addRoute("/safe/", "s", RouteKind::Safe);
-    addRoute("/once/", "s", RouteKind::Unsafe);
-    addRoute("/stream/", "s", RouteKind::Streaming);
-    addRoute("/resume/", "s", RouteKind::Streaming).Resumable = true;
-    addEndpoint("s");
-    addEndpoint("s");
-    start();
-  }
-  ScriptedEndpoint &first() { return Endpoints.front(); }
-  ScriptedEndpoint &second() { return Endpoints.back(); }
-  void script(const Script &script) { Scripts = {script}; }
-  size_t arrivals() {
-    return first().Requests.size() + second().Requests.size();
-  }
-};
-
-} // namespace
-
 TEST_CASE("gateway that has read no configuration refuses without judging the "
           "call, and is not ready") {
   GatewayWorld world;
