--- a/tests/auto/fleetlimits/tst_fleetlimits.cpp
+++ b/tests/auto/fleetlimits/tst_fleetlimits.cpp
@@ -209,9 +209,8 @@
   }
 }
 
-TEST_CASE(
-    "limit of a large team holds while four of nine gateways are cut off "
-    "from the holder") {
+TEST_CASE("limit of a large team holds while four of nine gateways are cut off "
+          "from the holder") {
   LimitsFleet::Setup setup = fleetOf(9, 0);
   setup.Rate = setup.Burst = 200'000;
   setup.Offered = 3 * setup.Rate;
