Take no suspended daemon for a witness that the log is away

A daemon that was suspended counts the time as silence of the log, or sees a read from before end late, and tells its peers on waking that the log is unavailable. A daemon cut off from the log took that for an outage for all and admitted by keys that may have been withdrawn meanwhile. Ruled out: readiness and refusal by different rules (one function). Change: loss is told and used as evidence only by what was seen since the process last woke.

--- a/src/libs/daemon/currency.cpp
+++ b/src/libs/daemon/currency.cpp
@@ -10,6 +10,10 @@
 /// Longer than a read that waits for records, so that a silent log shows.
 constexpr Utils::Milliseconds SilentAfter(2000);
 
+/// Four rounds of the duty that says that the process runs; shorter than
+/// SilentAfter, so that a pause never passes for a silence of the log.
+constexpr Utils::Milliseconds PausedAfter(1000);
+
 constexpr std::array<std::string_view, 4> CurrencyNames = {
     "not_current", "own_reading", "told_reading", "log_outage"};
 
@@ -91,13 +95,22 @@
   Told.note(reading);
 }
 
-void LogContact::noteFailure(std::string_view why) {
+void LogContact::noteFailure(std::string_view why, Utils::TimePoint asked) {
   std::lock_guard lock(Mutex);
   Log.noteFailure(why);
+  FailureAsked = std::max(FailureAsked, asked);
   if (!FailedSince)
     FailedSince = Clock.Now();
 }
 
+void LogContact::noteAwake() {
+  std::lock_guard lock(Mutex);
+  Utils::TimePoint now = Clock.Now();
+  if (!AwakeAt || now - *AwakeAt > PausedAfter)
+    AwakeSince = now;
+  AwakeAt = now;
+}
+
 std::optional<Peers::LogReading> LogContact::own(uint64_t held) const {
   std::lock_guard lock(Mutex);
   return Own.heldBy(held);
@@ -129,6 +142,25 @@
   return lostSinceLocked();
 }
 
+std::optional<Utils::TimePoint> LogContact::witnessedLossLocked() const {
+  if (!AwakeAt)
+    return lostSinceLocked();
+  Utils::TimePoint now = Clock.Now();
+  if (now - *AwakeAt > PausedAfter)
+    return std::nullopt;
+  if (FailedSince && FailureAsked >= AwakeSince)
+    return std::max(*FailedSince, AwakeSince);
+  Utils::TimePoint silentSince = std::max(AnsweredAt, AwakeSince);
+  if (now - silentSince > SilentAfter)
+    return silentSince;
+  return std::nullopt;
+}
+
+std::optional<Utils::TimePoint> LogContact::witnessedLossSince() const {
+  std::lock_guard lock(Mutex);
+  return witnessedLossLocked();
+}
+
 std::optional<Utils::TimePoint> LogContact::contactSince() const {
   std::lock_guard lock(Mutex);
   return lostSinceLocked() ? std::nullopt : RestoredAt;
@@ -138,7 +170,7 @@
   std::lock_guard lock(Mutex);
   Peers::LogReport report;
   report.Applied = held;
-  report.LostSince = lostSinceLocked();
+  report.LostSince = witnessedLossLocked();
   auto told = Told.newest();
   report.Newest = Own.newest();
   if (told)
--- a/src/libs/daemon/currency.h
+++ b/src/libs/daemon/currency.h
@@ -70,7 +70,11 @@
   /// The log answered a read asked for at `reading.At`.
   void noteOwn(const Peers::LogReading &reading);
   void noteTold(const Peers::LogReading &reading);
-  void noteFailure(std::string_view why);
+  /// A read asked for at `asked` failed or took too long.
+  void noteFailure(std::string_view why, Utils::TimePoint asked);
+  /// The process runs. After a pause between two of these, what was known of
+  /// the log before it is no longer a statement about now.
+  void noteAwake();
 
   /// Readings for the decision of a daemon that holds so much.
   std::optional<Peers::LogReading> own(uint64_t held) const;
@@ -79,6 +83,9 @@
   uint64_t seenEnd() const;
   /// Since when the log does not answer; nothing while it does.
   std::optional<Utils::TimePoint> lostSince() const;
+  /// The same, by what was seen since this process last was suspended: what may
+  /// be said of the log as a witness.
+  std::optional<Utils::TimePoint> witnessedLossSince() const;
   /// Since when the log has always answered; nothing while it does not.
   std::optional<Utils::TimePoint> contactSince() const;
   /// Report for gossip. Loss and newest reading belong together: who says that
@@ -87,6 +94,7 @@
 
 private:
   std::optional<Utils::TimePoint> lostSinceLocked() const;
+  std::optional<Utils::TimePoint> witnessedLossLocked() const;
 
   Utils::Clock Clock;
   mutable std::mutex Mutex;
@@ -96,7 +104,12 @@
   Readings Own;
   Readings Told;
   std::optional<Utils::TimePoint> FailedSince;
+  /// When the newest read that failed was asked for.
+  Utils::TimePoint FailureAsked;
   std::optional<Utils::TimePoint> RestoredAt;
+  /// When the process last said that it runs, and since when without a pause.
+  std::optional<Utils::TimePoint> AwakeAt;
+  Utils::TimePoint AwakeSince;
 };
 
 } // namespace Daemon::Internal
--- a/src/libs/daemon/peerduty.cpp
+++ b/src/libs/daemon/peerduty.cpp
@@ -68,7 +68,7 @@
                 const std::function<void(const History::State &)> &look) {
   CurrencyInput input;
   input.Window = window;
-  input.LogLost = context.Contact->lostSince().has_value();
+  input.LogLost = context.Contact->witnessedLossSince().has_value();
   OutageReports said =
       input.LogLost ? context.Node->outageReports() : OutageReports();
   input.Held = context.Store.read([&](const History::State &state) {
@@ -146,10 +146,12 @@
 
 void PeerDuty::start() {
   JoinAgainAt = Shared.Clock.Now() + AppendTimeout;
+  Awake.start(DutyPeriod, [this] { Shared.Contact->noteAwake(); });
   Rounds.start(DutyPeriod, [this] { round(); });
 }
 
 void PeerDuty::stop() {
+  Awake.stop();
   bool isMember = isListedMember(Shared);
   if (Rounds.stop() && isMember)
     append({Utils::randomId(), History::MemberAction::Leave,
--- a/src/libs/daemon/peerduty.h
+++ b/src/libs/daemon/peerduty.h
@@ -54,6 +54,8 @@
   /// Since when a member of the state does not speak.
   std::map<std::string, Utils::TimePoint> SilentSince;
   Utils::PeriodicThread Rounds;
+  /// Apart from the rounds, which may wait for peers or the log.
+  Utils::PeriodicThread Awake;
 };
 
 } // namespace Daemon::Internal
--- a/src/libs/daemon/peerdutyfeed.cpp
+++ b/src/libs/daemon/peerdutyfeed.cpp
@@ -134,7 +134,7 @@
     Contact.noteOwn({asked, read->NextOffset});
     FirstRetained = read->FirstRetained;
   } else if (read.error().Code != Errc::OutOfRange) {
-    Contact.noteFailure(read.error().What);
+    Contact.noteFailure(read.error().What, asked);
   }
 }
 
--- a/src/libs/daemon/peerdutylog.cpp
+++ b/src/libs/daemon/peerdutylog.cpp
@@ -159,6 +159,7 @@
 }
 
 std::optional<Outcome<LogRead>> PeerLog::readLog(const ReadJob &job) {
+  Utils::TimePoint asked = Clock.Now();
   std::unique_lock lock(Mutex);
   if (!Asked) {
     Asked = job;
@@ -170,7 +171,7 @@
                           : Utils::Milliseconds(job.WaitMs) + LogMargin;
   Changed.wait_for(lock, patience, [this] { return Result || Stopping; });
   if (!Result) {
-    Contact.noteFailure("the log is slow to answer");
+    Contact.noteFailure("the log is slow to answer", asked);
     return std::nullopt;
   }
   bool same = Asked->From == job.From;
@@ -196,7 +197,7 @@
       if (read)
         Contact.noteOwn({asked, read->NextOffset});
       else if (read.error().Code != Errc::OutOfRange)
-        Contact.noteFailure(read.error().What);
+        Contact.noteFailure(read.error().What, asked);
       Result = std::move(read);
     }
     Changed.notify_all();
--- a/tests/auto/limits/outageworld.cpp
+++ b/tests/auto/limits/outageworld.cpp
@@ -159,7 +159,7 @@
 void OutageWorld::readLog(size_t i) {
   Process &it = *Daemons[i];
   if (!reaches(i))
-    return it.Contact.noteFailure("outage");
+    return it.Contact.noteFailure("outage", it.Clock.Now());
   it.Contact.noteOwn({it.Clock.Now(), Folds.size() - 1});
   it.Read = Folds.size() - 1;
   it.HasState = true;
--- a/tests/auto/orders/tst_orders.cpp
+++ b/tests/auto/orders/tst_orders.cpp
@@ -357,7 +357,7 @@
   past.Now = [] { return std::chrono::steady_clock::now() - 10s; };
   auto &contact = Daemons[0]->Shared.Contact;
   contact = std::make_unique<Daemon::Internal::LogContact>(past);
-  contact->noteFailure("outage");
+  contact->noteFailure("outage", Utils::Clock().Now());
   CHECK(reason(call(0, request("k"))) == "history_unavailable");
   CHECK(Endpoint.executions("k") == 0);
 }
--- a/tests/auto/peers/tst_currency.cpp
+++ b/tests/auto/peers/tst_currency.cpp
@@ -179,6 +179,41 @@
   CHECK_FALSE(contact.lostSince());
 }
 
+TEST_CASE("loss of the log that was seen before a suspension is not said after "
+          "it until it is seen again") {
+  Utils::TimePoint now = Now;
+  Utils::Clock clock;
+  clock.Now = [&now] { return now; };
+  for (bool refused : {false, true}) {
+    CAPTURE(refused);
+    LogContact contact(clock);
+    auto runFor = [&](Utils::Milliseconds time) {
+      for (auto end = now + time; now < end; now += 250ms)
+        contact.noteAwake();
+    };
+    contact.noteOwn({now, 1});
+    if (refused)
+      contact.noteFailure("refused", now);
+    runFor(3s);
+    REQUIRE(contact.report(1).LostSince);
+    now += 5s;
+    CHECK_FALSE(contact.report(1).LostSince);
+    CHECK_FALSE(contact.witnessedLossSince());
+    Utils::TimePoint woken = now;
+    contact.noteFailure("no answer to a read asked for before the suspension",
+                        woken - 5s);
+    runFor(1s);
+    CHECK_FALSE(contact.report(1).LostSince);
+    if (refused)
+      contact.noteFailure("refused", woken);
+    else
+      runFor(2s);
+    CHECK(contact.report(1).LostSince == woken);
+    contact.noteOwn({now, 1});
+    CHECK_FALSE(contact.report(1).LostSince);
+  }
+}
+
 TEST_CASE("report of a daemon that took records from a peer, says that they "
           "were read") {
   Utils::Clock clock;
--- a/tests/auto/peers/tst_spread.cpp
+++ b/tests/auto/peers/tst_spread.cpp
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <doctest/doctest.h>
+#include <set>
 
 using namespace Support;
 
@@ -166,6 +167,24 @@
   CHECK(models(1).Status == 200);
 }
 
+TEST_CASE_FIXTURE(SpreadCluster,
+                  "daemon cut off from the log does not take peers that were "
+                  "suspended for witnesses of an outage of it") {
+  All.daemon(0).signal(SIGSTOP);
+  All.daemon(2).signal(SIGSTOP);
+  cutFromLog(1, refusing());
+  REQUIRE(eventually([&] { return currency(1) == "not_current"; }));
+  All.daemon(0).signal(SIGCONT);
+  All.daemon(2).signal(SIGCONT);
+  std::set<std::string> seen;
+  REQUIRE(eventually([&] {
+    std::string now = currency(1);
+    seen.insert(now);
+    return now == "told_reading";
+  }));
+  CHECK(seen.count("log_outage") == 0);
+}
+
 TEST_CASE_FIXTURE(SpreadCluster,
                   "planned stop is recorded as leave and ends with code 0") {
   CHECK(All.daemon(2).terminate() == 0);
