Check files in groups where they are only checked

Ruled out: precompiled headers for clang-tidy (2,843 s of CPU against 1,300). Change: unity builds of eight for tidy and sanitize (release, which is tested, is built as before); files whose names clash stay alone. The order of includes is left to the format step, which refuses unsorted ones in the same way. Every tracked .cpp is in a unit (checked); a misnamed function and local inside a unit are reported.

--- a/cmake/HickoryTargets.cmake
+++ b/cmake/HickoryTargets.cmake
@@ -38,6 +38,12 @@
   target_link_libraries(${name} PUBLIC hickory_options ${ARG_DEPENDS} PRIVATE ${ARG_PRIVATE_DEPENDS})
 endfunction()
 
+# hickory_alone(SOURCE...): keeps these sources of the folder out of unity builds, which scripts/test uses where files are
+# only checked: their names would clash with those of other files.
+function(hickory_alone)
+  set_source_files_properties(${ARGN} PROPERTIES SKIP_UNITY_BUILD_INCLUSION ON)
+endfunction()
+
 # hickory_precompile(TARGET...): shares one precompiled header of cpp-httplib and nlohmann's JSON, which take most of
 # the time to compile a file at the rim. Decision libraries must not call it: it would hide a forbidden include.
 function(hickory_precompile)
