Let the holder's reading of the configuration never be too old for the others

The holder's read waits 1 s for news, so what it last read is 1 to 2 s old; others rely on it up to 1.5 s and read by themselves half of the time. Ruled out: lost reports, changes of the topic. Change: the holder's reads wait 400 ms; two of them with two slow answers stay within 1.5 s (asserted and tested).

--- a/src/libs/gateway/gatewayconstants.h
+++ b/src/libs/gateway/gatewayconstants.h
@@ -11,17 +11,23 @@
 /// How long a read of the configuration waits for news. A connection that went
 /// silent is noticed within it, and the bound on configuration is 2 s.
 constexpr milliseconds ConfigurationPatience{1000};
+/// The same for the holder of the fleet's duty, on whose reading the others
+/// rely: it is as old as two such reads before the second one is answered.
+constexpr milliseconds HolderPatience{400};
 /// Pause between reads of the endpoints' reports. Endpoints must be left
 /// within 2 s of their notice; every report would end a waiting read, so these
 /// reads do not wait.
 constexpr milliseconds EndpointPause{700};
 /// Age from which what the holder of the fleet's duty has read is not relied
-/// on: a waiting read and a slow answer.
+/// on: two waiting reads of the holder and two slow answers.
 constexpr milliseconds HearsayAge{1500};
 /// Time from a report to a gateway's own reading of the store when no further
 /// report is answered: three reports of a large fleet.
 constexpr milliseconds HearsayLimit{1000};
-/// An answer of the store takes 4 ms, 300 ms when it is slow.
+/// What an answer of the slow store takes; 4 ms is usual.
+constexpr milliseconds SlowStoreAnswer{300};
+static_assert(2 * (HolderPatience + SlowStoreAnswer) <= HearsayAge);
+/// Twice what an answer of the slow store takes, and 100 ms.
 constexpr milliseconds StoreAnswerLimit{700};
 /// Pause after a failed call to the store, doubled up to the second figure so
 /// that all VMs together stay far below the store's rate.
--- a/src/libs/gateway/process.cpp
+++ b/src/libs/gateway/process.cpp
@@ -82,12 +82,18 @@
       Callers(loop, CallerPolicy), Readiness(loop, ReadinessPolicy),
       MetricsPort(loop, MetricsPolicy),
       Configurations(loop, State.Wire.PlatformStore,
-                     {Topic::Operators, ConfigurationPatience, {}},
+                     {Topic::Operators,
+                      [this] {
+                        return State.Part.isHolder() ? HolderPatience
+                                                     : ConfigurationPatience;
+                      },
+                      {}},
                      [this](const auto &records, bool) {
                        State.Known.takeOperators(records);
                      }),
       Endpoints(
-          loop, State.Wire.PlatformStore, {Topic::Endpoints, {}, EndpointPause},
+          loop, State.Wire.PlatformStore,
+          {Topic::Endpoints, [] { return milliseconds(0); }, EndpointPause},
           [this](const auto &records, bool whole) {
             State.Known.takeEndpoints(records, whole, Utils::BootClock::now());
             if (whole)
--- a/src/libs/gateway/topicfeed.cpp
+++ b/src/libs/gateway/topicfeed.cpp
@@ -19,8 +19,8 @@
 
 TopicFeed::TopicFeed(asio::io_context &loop, const Store &store, Plan plan,
                      Take take)
-    : Source(store), Steps(plan), OnRecords(std::move(take)), Pause(loop),
-      Random(std::random_device{}()) {}
+    : Source(store), Steps(std::move(plan)), OnRecords(std::move(take)),
+      Pause(loop), Random(std::random_device{}()) {}
 
 void TopicFeed::start(Utils::TimePoint at) { readAt(at); }
 
@@ -37,8 +37,9 @@
       return onFailure(result.error());
     onRead(*result, now, false);
   };
-  Source.ReadFrom(Steps.Source, Next, Steps.Patience,
-                  now + Steps.Patience + StoreAnswerLimit, done);
+  Utils::Milliseconds patience = Steps.Patience();
+  Source.ReadFrom(Steps.Source, Next, patience,
+                  now + patience + StoreAnswerLimit, done);
 }
 
 /// Reads the next page of all records. A page that fails is read again, not
--- a/src/libs/gateway/topicfeed.h
+++ b/src/libs/gateway/topicfeed.h
@@ -15,8 +15,11 @@
 public:
   struct Plan {
     Topic Source = Topic::Operators;
-    /// How long a read waits for a record; 0 for reads that do not wait.
-    Utils::Milliseconds Patience{0};
+    /// How long a read waits for a record; 0 for reads that do not wait. Asked
+    /// for at each read.
+    std::function<Utils::Milliseconds()> Patience = [] {
+      return Utils::Milliseconds(0);
+    };
     /// Pause after a read.
     Utils::Milliseconds Pause{0};
   };
--- a/tests/auto/gateway/gatewayworld.cpp
+++ b/tests/auto/gateway/gatewayworld.cpp
@@ -314,7 +314,9 @@
       done(Gateway::TopicPage{read->Next, std::move(read.value().Records), ""});
     });
   };
-  store.ReadFrom = [this](auto topic, auto, auto, auto, auto done) {
+  store.ReadFrom = [this](auto topic, auto, auto patience, auto, auto done) {
+    if (topic == Gateway::Topic::Operators)
+      ConfigurationPatience = patience;
     answerRead(topic, std::move(done));
   };
   store.ReadDuty = [this](auto, auto done) {
--- a/tests/auto/gateway/gatewayworld.h
+++ b/tests/auto/gateway/gatewayworld.h
@@ -135,6 +135,8 @@
   /// What the endpoints do with the next requests, whichever gets them.
   std::deque<Script> Scripts;
   bool StoreAnswers = true;
+  /// How long the newest read of the configuration was to wait for news.
+  Utils::Milliseconds ConfigurationPatience{0};
   /// By endpoint.
   std::map<std::string, FakeEngine> Engines;
   std::optional<std::string> DutyRecord;
--- a/tests/auto/gateway/tst_gateway.cpp
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -1,5 +1,7 @@
 #include "servedworld.h"
 
+#include "gateway/gatewayconstants.h"
+
 #include <doctest/doctest.h>
 
 using namespace std::chrono_literals;
@@ -385,3 +387,13 @@
   CHECK(seconds <= 30);
   CHECK(first().Requests.size() == 1);
 }
+
+TEST_CASE_FIXTURE(Served,
+                  "holder of the fleet's duty waits so briefly for news of the "
+                  "configuration that others may always go by its reading") {
+  runUntil([&] { return DutyRecord.has_value(); });
+  publish();
+  CHECK(ConfigurationPatience > 0ms);
+  auto oldest = 2 * (ConfigurationPatience + Gateway::SlowStoreAnswer);
+  CHECK(oldest <= Gateway::HearsayAge);
+}
--- a/tests/auto/topicfeed/tst_topicfeed.cpp
+++ b/tests/auto/topicfeed/tst_topicfeed.cpp
@@ -51,10 +51,11 @@
   std::map<std::string, int> Calls;
   std::function<void(const std::string &after)> OnAnswer;
   uint64_t ReadFrom = 0;
+  Utils::Milliseconds Patience{0};
   std::vector<std::vector<TopicRecord>> Taken;
   TopicFeed Feed{Loop,
                  It,
-                 {Topic::Endpoints, 0ms, 1ms},
+                 {Topic::Endpoints, [this] { return Patience; }, 1ms},
                  [this](const auto &records, bool whole) {
                    if (whole)
                      Taken.push_back(records);
