Admit calls that wait when their team's limit is lifted

Cause, found by reading: a call that waits for tokens while a new configuration lifts its team's limit is judged by a limit of zero: refused where the holder does not know of the change yet or is silent, and its come-back time is a division by zero. Change: such calls are admitted, by the holder's answer and without one; what is spent without a limit counts as granted in one place. Before: both new tests of tst_quota red.

--- a/src/libs/quota/ledger.h
+++ b/src/libs/quota/ledger.h
@@ -55,6 +55,7 @@
   void debit(double tokens, TimePoint now);
   void debitLate(double tokens, TimePoint now);
   void fill(TimePoint now);
+  void noteDemand(double tokens, TimePoint now);
 
   Limit Allowed;
   double MostDebt;
@@ -63,8 +64,6 @@
   /// it was full, or a part was left to silent gateways.
   double Spare = 0;
   TimePoint FilledAt;
-  void noteDemand(double tokens, TimePoint now);
-
   /// Tokens wanted, the less the longer ago.
   double Recent = 0;
   TimePoint RecentAt{};
--- a/src/libs/quota/purse.cpp
+++ b/src/libs/quota/purse.cpp
@@ -59,6 +59,8 @@
   for (const Wait &it : Waiting)
     Counts.Asked += it.Tokens;
   Counts.First = Waiting.empty() ? 0 : Waiting.front().Tokens;
+  if (!isLimited())
+    Counts.Granted = std::max(Counts.Granted, Counts.Spent);
 }
 
 void Purse::spend(int64_t tokens) {
@@ -74,7 +76,6 @@
       MeanCall == 0 ? double(whole) : (double(whole) - MeanCall) * NewestWeight;
   if (!isLimited()) {
     spend(whole);
-    Counts.Granted = std::max(Counts.Granted, Counts.Spent);
     return Decision{call, std::nullopt};
   }
   if (Waiting.empty() && Counts.Granted - Counts.Spent >= whole) {
@@ -131,7 +132,7 @@
   std::erase_if(Waiting, [&](const Wait &it) {
     if (it.AskedBy == 0 || it.AskedBy > sequence)
       return false;
-    bool fits = Counts.Granted - Counts.Spent >= it.Tokens;
+    bool fits = !isLimited() || Counts.Granted - Counts.Spent >= it.Tokens;
     if (fits)
       Counts.Spent += it.Tokens;
     out.push_back(
@@ -190,6 +191,10 @@
 
 Decision Purse::decideAlone(uint64_t call, int64_t tokens, TimePoint now,
                             std::mt19937_64 &random) {
+  if (!isLimited()) { // It was lifted while the call waited.
+    spend(tokens);
+    return {call, std::nullopt};
+  }
   WantedAlone += double(tokens);
   double chance = chanceAlone(double(tokens), now);
   if (chance < std::uniform_real_distribution<double>(0, 1)(random)) {
--- a/tests/auto/quota/tst_quota.cpp
+++ b/tests/auto/quota/tst_quota.cpp
@@ -211,6 +211,26 @@
   CHECK(call(1000).isAdmitted());
 }
 
+TEST_CASE_FIXTURE(OneGateway, "call that waits when its team's limit is lifted "
+                              "is admitted, whatever the holder answers") {
+  CHECK(admittedOf(3, 700) == 3);
+  CHECK_FALSE(Own.want(++Calls, 300, true, Now, Random));
+  Own.setLimit({0, 0}, Now);
+  auto decisions = exchange();
+  REQUIRE(decisions.size() == 1);
+  CHECK(decisions[0].isAdmitted());
+}
+
+TEST_CASE_FIXTURE(OneGateway, "call that waits when its team's limit is lifted "
+                              "is admitted, though the holder is silent") {
+  CHECK(admittedOf(3, 700) == 3);
+  CHECK_FALSE(Own.want(++Calls, 300, true, Now, Random));
+  Own.setLimit({0, 0}, Now);
+  auto decisions = Own.expire(Now + Purse::Patience, Random);
+  REQUIRE(decisions.size() == 1);
+  CHECK(decisions[0].isAdmitted());
+}
+
 TEST_CASE_FIXTURE(LostHolder,
                   "call is decided at once where no holder answers") {
   CHECK(admitsAlone(100));
