--- a/src/libs/gateway/limitsbook.cpp
+++ b/src/libs/gateway/limitsbook.cpp
@@ -138,12 +138,16 @@
                    const std::vector<FleetLink::TeamUse> *teams,
                    TimePoint now) {
   std::vector<FleetLink::TeamTotal> out;
-  const auto &granted = Members[member].Granted;
+  auto known = Members.find(member);
+  auto grantedOf = [&](uint32_t key) -> int64_t {
+    if (known == Members.end())
+      return 0;
+    auto it = known->second.Granted.find(key);
+    return it == known->second.Granted.end() ? 0 : it->second;
+  };
   auto add = [&](uint32_t key, Team &team) {
-    auto it = granted.find(key);
     out.push_back({key, rounded(team.Book.level(now)),
-                   uint32_t(rounded(team.Book.demand(now))),
-                   it == granted.end() ? 0 : it->second});
+                   uint32_t(rounded(team.Book.demand(now))), grantedOf(key)});
   };
   if (!teams) {
     for (auto &[key, team] : Teams)
