--- a/tests/auto/gateway/modelcalls.cpp
+++ b/tests/auto/gateway/modelcalls.cpp
@@ -156,7 +156,7 @@
 TEST_CASE(
     "holder under a wave of orders tells the gateways of a large fleet so "
     "seldom that most of its time is left, and few of them at once") {
-  constexpr double mostPerMs = 2; // Twice what reports of 420 gateways bring.
+  constexpr double mostPerMs = 2; // Four times what their reports bring.
   for (uint32_t gateways : {8, 81, 195, 420}) {
     CAPTURE(gateways);
     double pause = double(Gateway::tellPause(gateways).count());
