Log the shared prompt parts of failed calls and the crashes of endpoints

The logs could not tell a value that calls share from overload as the cause of crashes: send_failed named no prompt parts, and a single lost connection looked like the end of its endpoint. Now send_failed has team and parts, and a connection check after a broken exchange that was not being answered tells whether the endpoint still listens (endpoint_crashed).

--- a/src/libs/gateway/call.h
+++ b/src/libs/gateway/call.h
@@ -51,6 +51,10 @@
   void onEnd(HttpIo::ExchangeResult end);
   void completeAnswer();
   void onSendFailed(Balance::AttemptResult end);
+  /// The endpoint broke off the exchange.
+  void onBrokenOff();
+  /// Ids of the prompt parts that other calls may share: all but the last one.
+  std::vector<std::string> sharedParts() const;
   void applyNextStep(Balance::RecoveryAction next);
   void endBetweenSends(std::string_view reason,
                        std::optional<Utils::Milliseconds> retryAfter);
@@ -81,6 +85,8 @@
   std::string EndpointId;
   std::string PoolKey;
   Utils::TimePoint SentAt;
+  /// When the head of the answer arrived.
+  std::optional<Utils::TimePoint> AnsweredAt;
   Http::ResponseHead Head;
   bool HeadIsAnswer = false;
   bool NotExecuted = false;
--- a/src/libs/gateway/callsend.cpp
+++ b/src/libs/gateway/callsend.cpp
@@ -19,6 +19,10 @@
 /// call was executed.
 constexpr std::chrono::milliseconds MaxIdleForUnsafe{1000};
 
+/// An answer that breaks off within this time of its head counts as not begun:
+/// the endpoint's crash may follow its first bytes.
+constexpr std::chrono::milliseconds MinAnswerTime{100};
+
 bool isSuccess(unsigned status) { return status >= 200 && status < 300; }
 
 /// Returns the id of the last event in `events`, or an empty string if it has
@@ -40,6 +44,13 @@
   return std::string(value);
 }
 
+std::string joinWithCommas(const std::vector<std::string> &values) {
+  std::string out;
+  for (const std::string &it : values)
+    out += (out.empty() ? "" : ",") + it;
+  return out;
+}
+
 Http::ResponseHead forwardedHead(const Http::ResponseHead &head) {
   Http::ResponseHead out;
   out.Status = head.Status;
@@ -191,6 +202,7 @@
   ++Sends;
   ++RunsStarted;
   NotExecuted = HeadIsAnswer = false;
+  AnsweredAt.reset();
   Head = {};
   Body.clear();
   State.HealthTracker.onSent(EndpointId);
@@ -224,7 +236,8 @@
   HeadIsAnswer = reply.Genuine && !NotExecuted && reply.CallId == Metadata.Id;
   Head = head;
   if (HeadIsAnswer) {
-    auto elapsed = Utils::BootClock::now() - SentAt;
+    AnsweredAt = Utils::BootClock::now();
+    auto elapsed = *AnsweredAt - SentAt;
     State.HealthTracker.onFirstByte(
         EndpointId, std::chrono::duration<double, std::milli>(elapsed).count());
     State.MetricsRegistry.observe(
@@ -282,6 +295,7 @@
   }
   if (end != HttpIo::ExchangeResult::Complete) {
     NotExecuted = false;
+    onBrokenOff();
     return onSendFailed(Balance::AttemptResult::ConnectionFailed);
   }
   State.Connections.release(PoolKey, Connection);
@@ -303,6 +317,25 @@
   completeAnswer();
 }
 
+std::vector<std::string> Call::sharedParts() const {
+  std::vector<std::string> out;
+  for (const PromptPart &it : Metadata.Prompt)
+    out.push_back(it.Id);
+  if (!out.empty())
+    out.pop_back();
+  return out;
+}
+
+void Call::onBrokenOff() {
+  bool answering =
+      AnsweredAt && Utils::BootClock::now() >= *AnsweredAt + MinAnswerTime;
+  const Fleet::Endpoint *endpoint =
+      State.FleetView.endpoints().find(EndpointId);
+  if (!answering && endpoint)
+    State.Crashes.onBrokenOff(EndpointId, endpoint->Report.Address,
+                              {sharedParts(), SentAt});
+}
+
 void Call::completeAnswer() {
   if (Done)
     return;
@@ -353,6 +386,8 @@
       .with("endpoint", EndpointId)
       .with("model", Metadata.Model)
       .with("adapter", Metadata.Adapter)
+      .with("team", Team ? Team->Name : "")
+      .with("parts", joinWithCommas(sharedParts()))
       .with("end", Balance::attemptResultName(end))
       .with("status", Head.Status)
       .with("not_run", NotExecuted)
--- /dev/null
+++ b/src/libs/gateway/crashwatch.cpp
@@ -0,0 +1,45 @@
+#include "gateway/crashwatch.h"
+
+#include "utils/utils.h"
+
+#include <utility>
+
+namespace Gateway {
+
+void CrashWatch::onBrokenOff(const std::string &endpoint,
+                             const std::string &address, UnansweredCall call) {
+  auto [it, isNew] = Checking.try_emplace(endpoint);
+  it->second.Unanswered.push_back(std::move(call));
+  if (!isNew)
+    return;
+  it->second.Endpoint = endpoint;
+  it->second.At = Utils::BootClock::now();
+  std::error_code ec;
+  auto peer = HttpIo::parseEndpoint(address, ec);
+  if (ec) { // Reported when the call was sent.
+    Checking.erase(it);
+    return;
+  }
+  HttpIo::checkConnect(Loop, peer,
+                       [this, endpoint](HttpIo::ConnectResult result) {
+                         onChecked(endpoint, result);
+                       });
+}
+
+void CrashWatch::onChecked(const std::string &endpoint,
+                           HttpIo::ConnectResult result) {
+  auto checked = Checking.extract(endpoint);
+  // An endpoint that does not answer may be cut off, which says nothing about
+  // the calls that it had.
+  if (result != HttpIo::ConnectResult::Refused)
+    return;
+  const EndpointCrash &crash = checked.mapped();
+  Utils::Event("endpoint_crashed")
+      .with("endpoint", endpoint)
+      .with("unanswered", crash.Unanswered.size())
+      .warning();
+  if (OnCrash)
+    OnCrash(crash);
+}
+
+} // namespace Gateway
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -6,6 +6,7 @@
 #include "balance/balance.h"
 #include "gateway/admissionqueue.h"
 #include "gateway/callwire.h"
+#include "gateway/crashwatch.h"
 #include "gateway/dispatchqueue.h"
 #include "gateway/engineclient.h"
 #include "gateway/fleetagent.h"
@@ -46,6 +47,7 @@
   DispatchQueue PendingDispatch;
   AdmissionQueue PendingAdmission;
   FleetAgent Coordination;
+  CrashWatch Crashes;
   std::map<std::string, Balance::RetryBudget> RetryBudgets;
   std::mt19937_64 Random;
   std::function<void()> OnDutyTaken;
--- a/src/libs/gateway/process.cpp
+++ b/src/libs/gateway/process.cpp
@@ -45,7 +45,7 @@
                     [this](const auto &decisions) {
                       PendingAdmission.resolve(decisions);
                     }}),
-      Random(std::random_device{}()) {
+      Crashes(loop), Random(std::random_device{}()) {
   PendingDispatch.OnAdded = [this] { Coordination.reportSoon(); };
 }
 
--- a/src/libs/httpio/httpio.h
+++ b/src/libs/httpio/httpio.h
@@ -6,6 +6,7 @@
 /// thread that runs its loop.
 #include "httpio/clientconnection.h"
 #include "httpio/clientpool.h"
+#include "httpio/connectcheck.h"
 #include "httpio/fetch.h"
 #include "httpio/listener.h"
 #include "httpio/serverconnection.h"
