--- a/tests/auto/gateway/gatewayfixture.cpp
+++ b/tests/auto/gateway/gatewayfixture.cpp
@@ -31,13 +31,12 @@
 
 ScriptedEndpoint::ScriptedEndpoint(asio::io_context &loop,
                                    std::deque<Script> &scripts)
-    : Scripts(scripts), Acceptor(loop, Loopback) {
+    : Scripts(scripts), Acceptor(loop, Loopback),
+      Address(Acceptor.local_endpoint()) {
   accept();
 }
 
-std::string ScriptedEndpoint::address() const {
-  return textOf(Acceptor.local_endpoint());
-}
+std::string ScriptedEndpoint::address() const { return textOf(Address); }
 
 void ScriptedEndpoint::accept() {
   Acceptor.async_accept([this](const std::error_code &ec, Tcp::socket socket) {
@@ -59,6 +58,21 @@
     }
 }
 
+void ScriptedEndpoint::crash() {
+  ++Crashes;
+  Acceptor.close();
+  resetAll();
+  auto timer =
+      std::make_shared<HttpIo::Timer>(Acceptor.get_executor(), RestartTime);
+  timer->async_wait([this, timer](const std::error_code &) {
+    Acceptor.open(Address.protocol());
+    Acceptor.set_option(asio::socket_base::reuse_address(true));
+    Acceptor.bind(Address);
+    Acceptor.listen();
+    accept();
+  });
+}
+
 void ScriptedEndpoint::read(const std::shared_ptr<Peer> &peer) {
   peer->Socket.async_read_some(
       asio::buffer(peer->Buffer),
@@ -78,6 +92,10 @@
 void ScriptedEndpoint::play(const std::shared_ptr<Peer> &peer,
                             const Http::Request &request) {
   Requests.push_back(request);
+  for (const Http::Field &it : request.Headers)
+    if (!CrashingText.empty() &&
+        it.Value.find(CrashingText) != std::string::npos)
+      return crash();
   if (Scripts.empty())
     return; // No response.
   Script script = Scripts.front();
--- a/tests/auto/gateway/gatewayfixture.h
+++ b/tests/auto/gateway/gatewayfixture.h
@@ -34,6 +34,13 @@
   std::vector<Http::Request> Requests;
   /// Resets all its connections.
   void resetAll();
+  /// If not empty: a request whose headers contain this text crashes the
+  /// endpoint before it answers.
+  std::string CrashingText;
+  /// Time that it takes to start again after a crash.
+  std::chrono::milliseconds RestartTime{100};
+  int Crashes = 0;
+  bool isDown() const { return !Acceptor.is_open(); }
   /// Number of connections that the gateway has closed.
   int Ended = 0;
   int Accepted = 0;
@@ -44,12 +51,14 @@
   struct Peer;
   std::vector<std::weak_ptr<Peer>> Peers;
   void accept();
+  void crash();
   void read(const std::shared_ptr<Peer> &peer);
   void play(const std::shared_ptr<Peer> &peer, const Http::Request &request);
   void repeat(const std::shared_ptr<Peer> &peer, const Script &script);
 
   std::deque<Script> &Scripts;
   HttpIo::Tcp::acceptor Acceptor;
+  HttpIo::Tcp::endpoint Address;
 };
 
 /// A caller that sends raw bytes and records the response.
