Quarantine prompt parts that crash endpoints

Callers saw 502 and broken streams while calls with one prompt part crashed engine after engine: each gateway took every crash for a fault of the endpoint, none looked at what the endpoint was running, and nothing that one learned reached the others. The class of fault: an input that kills whoever runs it (query of death), sent on because health is kept by endpoint.

src/libs/quarantine decides from two kinds of evidence: crashes, each with the calls that were at the endpoint and not yet answered, and answers. A part that crashes endpoints accounts for each crash, is never answered, and is sent after one crash to cause the next. Gateways report crashes at once, and the newest answers of the parts that the holder suspects; the holder decides and names the quarantined parts in every heartbeat. Each gateway keeps its evidence until the present holder has acknowledged it, and the quarantines until their deadline, so that a new holder starts from both; without a holder a gateway decides alone. Calls are refused before they take tokens or a place, 503 with the time that the quarantine still lasts.

--- a/src/libs/fleetlink/fleetlink.cpp
+++ b/src/libs/fleetlink/fleetlink.cpp
@@ -30,13 +30,27 @@
 template <class Archive> void serialize(Archive &archive, LeavingEndpoint &it) {
   archive(it.Endpoint, it.StartedUnixMs);
 }
+template <class Archive> void serialize(Archive &archive, SuspectCall &it) {
+  archive(it.SentAgeMs, it.Parts);
+}
+template <class Archive> void serialize(Archive &archive, EndpointCrash &it) {
+  archive(it.Endpoint, it.AgeMs, it.Suspects);
+}
+template <class Archive> void serialize(Archive &archive, PartAnswer &it) {
+  archive(it.Part, it.AgeMs);
+}
+template <class Archive>
+void serialize(Archive &archive, QuarantinedParts &it) {
+  archive(it.Parts, it.RemainingMs, it.PeriodMs);
+}
 template <class Archive> void serialize(Archive &archive, Report &it) {
   archive(it.Member, it.Address, it.Incarnation, it.Sequence, it.Token,
           it.Lineage, it.TableRevision, it.TableComplete, it.EndpointsNext,
           it.Strength, it.StoreCallFailed, it.HeartbeatStampMs,
           it.HeartbeatAgeMs, it.Leaving, it.Teams, it.Levels, it.Waiting,
           it.Calls, it.Loads, it.ModelMisses, it.LeavingEndpoints,
-          it.UnconfirmedEndpoints);
+          it.UnconfirmedEndpoints, it.Crashes, it.AnsweredParts,
+          it.Quarantined);
 }
 template <class Archive> void serialize(Archive &archive, TeamGrant &it) {
   archive(it.Team, it.Level, it.Demand, it.Granted);
@@ -66,7 +80,8 @@
           it.Teams, it.OperatorsNext, it.OperatorsAgeMs, it.EndpointsAgeMs,
           it.Lineage, it.TableTakeoverRevision, it.TableTombstoneFloor,
           it.TableBaseRevision, it.TableRevision, it.TableComplete,
-          it.TableBaseFromStore, it.EncodedEntries, it.Loads);
+          it.TableBaseFromStore, it.EncodedEntries, it.Loads, it.Quarantined,
+          it.WatchedParts);
 }
 
 namespace {
@@ -74,10 +89,10 @@
 /// First byte of a datagram. A message gets a new value with each change of its
 /// format, so that gateways of two versions do not misread each other.
 enum class Kind : char {
-  Report = 4,
-  Heartbeat = 6,
   GrantRequest = 7,
-  Grant = 8
+  Grant = 8,
+  Report = 9,
+  Heartbeat = 10
 };
 
 template <typename T> std::string encodeAs(Kind kind, const T &message) {
--- a/src/libs/fleetlink/fleetlink.h
+++ b/src/libs/fleetlink/fleetlink.h
@@ -86,6 +86,37 @@
   int64_t StartedUnixMs = 0;
 };
 
+/// A call that an endpoint had not begun to answer when it crashed.
+struct SuspectCall {
+  /// Time since it was sent.
+  uint32_t SentAgeMs = 0;
+  /// Hashes of the prompt parts that it shares with other calls.
+  std::vector<uint64_t> Parts;
+};
+
+/// A crash of an endpoint.
+struct EndpointCrash {
+  /// Hash of its id.
+  uint32_t Endpoint = 0;
+  uint32_t AgeMs = 0;
+  std::vector<SuspectCall> Suspects;
+};
+
+/// The newest answer to a call with the prompt part.
+struct PartAnswer {
+  uint64_t Part = 0;
+  /// Time since the answer began.
+  uint32_t AgeMs = 0;
+};
+
+/// Calls with all of these prompt parts are not sent to endpoints.
+struct QuarantinedParts {
+  std::vector<uint64_t> Parts;
+  uint32_t RemainingMs = 0;
+  /// See Quarantine::Entry::Period.
+  uint32_t PeriodMs = 0;
+};
+
 /// Periodic message of a gateway to the holder.
 struct Report {
   std::string Member;
@@ -127,6 +158,12 @@
   /// Endpoints whose entries an earlier holder sent and the present one may
   /// never have known.
   std::vector<std::string> UnconfirmedEndpoints;
+  /// Those that the holder has not acknowledged.
+  std::vector<EndpointCrash> Crashes;
+  /// Of the parts that the holder watches.
+  std::vector<PartAnswer> AnsweredParts;
+  /// Quarantines that the gateway knows, for a new holder.
+  std::vector<QuarantinedParts> Quarantined;
 };
 
 /// Request of a gateway to the holder for tokens of teams, between its reports.
@@ -247,6 +284,10 @@
   /// decodeEntries() fills Entries from them.
   std::vector<std::string> EncodedEntries;
   std::vector<EndpointCalls> Loads;
+  /// All quarantines in force.
+  std::vector<QuarantinedParts> Quarantined;
+  /// Parts about whose answers the holder asks.
+  std::vector<uint64_t> WatchedParts;
 };
 
 /// Encodes an entry as it is sent.
--- a/src/libs/gateway/call.cpp
+++ b/src/libs/gateway/call.cpp
@@ -1,6 +1,7 @@
 #include "gateway/call.h"
 
 #include "gateway/gatewayconstants.h"
+#include "utils/digest.h"
 #include "utils/utils.h"
 
 namespace Gateway {
@@ -39,7 +40,7 @@
       ArrivedAt(Utils::BootClock::now()), DeadlineTimer(state.Loop) {}
 
 void Call::start() {
-  if (!resolveRoute() || !authenticate())
+  if (!resolveRoute() || !authenticate() || refuseQuarantined())
     return;
   auto self = shared_from_this();
   Caller->OnDisconnect = [self] { self->onCallerDisconnected(); };
@@ -68,6 +69,11 @@
   }
   Metadata = std::move(metadata.value());
   LastEventId = Metadata.LastEventId;
+  for (const PromptPart &it : Metadata.Prompt)
+    SharedParts.push_back(Utils::fastHash(it.Id));
+  // The last part belongs to the call or its session alone.
+  if (!SharedParts.empty())
+    SharedParts.pop_back();
   Configuration = State.FleetView.configuration();
   if (!Configuration) {
     refuse(Unavailable, "no_configuration", DefaultRetryAfter);
--- a/src/libs/gateway/call.h
+++ b/src/libs/gateway/call.h
@@ -53,8 +53,13 @@
   void onSendFailed(Balance::AttemptResult end);
   /// The endpoint broke off the exchange.
   void onBrokenOff();
-  /// Ids of the prompt parts that other calls may share: all but the last one.
-  std::vector<std::string> sharedParts() const;
+  /// The endpoint has been answering long enough for the answer to show that
+  /// the call does not crash it.
+  bool isAnswering() const;
+  /// The endpoint has answered, so the call's parts do not crash it.
+  void recordAnswer();
+  /// Refuses the call and returns true if its prompt parts are quarantined.
+  bool refuseQuarantined();
   void applyNextStep(Balance::RecoveryAction next);
   void endBetweenSends(std::string_view reason,
                        std::optional<Utils::Milliseconds> retryAfter);
@@ -72,6 +77,7 @@
   HttpIo::ServerConnectionRef Caller;
   Http::Request Request;
   CallMetadata Metadata;
+  Quarantine::Parts SharedParts;
   Fleet::ConfigurationRef Configuration;
   const Fleet::Route *Route = nullptr;
   const Fleet::Team *Team = nullptr;
--- a/src/libs/gateway/callsend.cpp
+++ b/src/libs/gateway/callsend.cpp
@@ -44,10 +44,11 @@
   return std::string(value);
 }
 
-std::string joinWithCommas(const std::vector<std::string> &values) {
+/// Ids of the prompt parts that other calls may share, separated by commas.
+std::string sharedPartIds(const std::vector<PromptPart> &prompt) {
   std::string out;
-  for (const std::string &it : values)
-    out += (out.empty() ? "" : ",") + it;
+  for (size_t i = 0; i + 1 < prompt.size(); ++i)
+    out += (i == 0 ? "" : ",") + prompt[i].Id;
   return out;
 }
 
@@ -140,6 +141,8 @@
     endBetweenSends("no_time", std::nullopt);
     return true;
   }
+  if (refuseQuarantined())
+    return true;
   auto id = pickEndpoint();
   if (!id)
     return false;
@@ -276,6 +279,8 @@
   std::string_view events =
       std::string_view(Body).substr(0, end + EventTerminator.size());
   beginStream();
+  if (isAnswering())
+    recordAnswer();
   Caller->streamData(events);
   if (std::string id = lastIdIn(events); !id.empty())
     LastEventId = id;
@@ -317,23 +322,30 @@
   completeAnswer();
 }
 
-std::vector<std::string> Call::sharedParts() const {
-  std::vector<std::string> out;
-  for (const PromptPart &it : Metadata.Prompt)
-    out.push_back(it.Id);
-  if (!out.empty())
-    out.pop_back();
-  return out;
+bool Call::isAnswering() const {
+  return AnsweredAt && Utils::BootClock::now() >= *AnsweredAt + MinAnswerTime;
+}
+
+void Call::recordAnswer() {
+  State.Coordination.member().recordAnswer(SharedParts, *AnsweredAt);
+}
+
+bool Call::refuseQuarantined() {
+  Utils::TimePoint now = Utils::BootClock::now();
+  auto until = State.Coordination.member().quarantinedUntil(SharedParts, now);
+  if (!until)
+    return false;
+  endBetweenSends("part_quarantined",
+                  std::chrono::ceil<Utils::Milliseconds>(*until - now));
+  return true;
 }
 
 void Call::onBrokenOff() {
-  bool answering =
-      AnsweredAt && Utils::BootClock::now() >= *AnsweredAt + MinAnswerTime;
   const Fleet::Endpoint *endpoint =
       State.FleetView.endpoints().find(EndpointId);
-  if (!answering && endpoint)
+  if (!isAnswering() && endpoint)
     State.Crashes.onBrokenOff(EndpointId, endpoint->Report.Address,
-                              {sharedParts(), SentAt});
+                              {SharedParts, SentAt});
 }
 
 void Call::completeAnswer() {
@@ -348,6 +360,7 @@
     return finish("answered", Head.Status);
   }
   beginStream();
+  recordAnswer();
   Caller->streamData(Body);
   Caller->endStream();
   finish("answered", Head.Status);
@@ -387,7 +400,7 @@
       .with("model", Metadata.Model)
       .with("adapter", Metadata.Adapter)
       .with("team", Team ? Team->Name : "")
-      .with("parts", joinWithCommas(sharedParts()))
+      .with("parts", sharedPartIds(Metadata.Prompt))
       .with("end", Balance::attemptResultName(end))
       .with("status", Head.Status)
       .with("not_run", NotExecuted)
--- a/src/libs/gateway/crashwatch.cpp
+++ b/src/libs/gateway/crashwatch.cpp
@@ -1,5 +1,6 @@
 #include "gateway/crashwatch.h"
 
+#include "fleetlink/fleetlink.h"
 #include "utils/utils.h"
 
 #include <utility>
@@ -7,12 +8,13 @@
 namespace Gateway {
 
 void CrashWatch::onBrokenOff(const std::string &endpoint,
-                             const std::string &address, UnansweredCall call) {
+                             const std::string &address,
+                             Quarantine::Suspect call) {
   auto [it, isNew] = Checking.try_emplace(endpoint);
-  it->second.Unanswered.push_back(std::move(call));
+  it->second.Suspects.push_back(std::move(call));
   if (!isNew)
     return;
-  it->second.Endpoint = endpoint;
+  it->second.Endpoint = FleetLink::hashName(endpoint);
   it->second.At = Utils::BootClock::now();
   std::error_code ec;
   auto peer = HttpIo::parseEndpoint(address, ec);
@@ -33,10 +35,10 @@
   // the calls that it had.
   if (result != HttpIo::ConnectResult::Refused)
     return;
-  const EndpointCrash &crash = checked.mapped();
+  const Quarantine::Crash &crash = checked.mapped();
   Utils::Event("endpoint_crashed")
       .with("endpoint", endpoint)
-      .with("unanswered", crash.Unanswered.size())
+      .with("unanswered", crash.Suspects.size())
       .warning();
   if (OnCrash)
     OnCrash(crash);
--- a/src/libs/gateway/crashwatch.h
+++ b/src/libs/gateway/crashwatch.h
@@ -2,30 +2,14 @@
 #define GATEWAY_CRASHWATCH_H
 
 #include "httpio/httpio.h"
-#include "utils/clock.h"
+#include "quarantine/quarantine.h"
 
 #include <functional>
 #include <map>
 #include <string>
-#include <vector>
 
 namespace Gateway {
 
-/// A call that an endpoint had not begun to answer when it broke off.
-struct UnansweredCall {
-  /// Ids of the prompt parts that other calls may share.
-  std::vector<std::string> SharedParts;
-  Utils::TimePoint SentAt{};
-};
-
-/// A crash of an endpoint, as this gateway has seen it.
-struct EndpointCrash {
-  std::string Endpoint;
-  /// When the first call broke off.
-  Utils::TimePoint At{};
-  std::vector<UnansweredCall> Unanswered;
-};
-
 /// Tells crashes of endpoints from single lost connections: after a call has
 /// broken off, checks whether the endpoint still accepts connections.
 class CrashWatch {
@@ -35,17 +19,17 @@
   /// A call that the endpoint had not begun to answer has broken off. Calls
   /// that break off until the check's result belong to the same crash.
   void onBrokenOff(const std::string &endpoint, const std::string &address,
-                   UnansweredCall call);
+                   Quarantine::Suspect call);
 
   /// Called for each crash.
-  std::function<void(const EndpointCrash &)> OnCrash;
+  std::function<void(const Quarantine::Crash &)> OnCrash;
 
 private:
   void onChecked(const std::string &endpoint, HttpIo::ConnectResult result);
 
   asio::io_context &Loop;
   /// Crashes whose check is in progress, by endpoint.
-  std::map<std::string, EndpointCrash> Checking;
+  std::map<std::string, Quarantine::Crash> Checking;
 };
 
 } // namespace Gateway
--- a/src/libs/gateway/fleetagent.cpp
+++ b/src/libs/gateway/fleetagent.cpp
@@ -10,16 +10,6 @@
 
 namespace {
 
-/// Interval between reports in a small fleet. The holder's data on limits and
-/// loads is half an interval old on average.
-constexpr milliseconds MinReportInterval{250};
-/// Report interval per gateway of the fleet, so that the holder of up to 350
-/// gateways receives at most 500 reports per second.
-constexpr milliseconds ReportIntervalPerMember{2};
-/// Maximum report interval, below the time after which a gateway without a
-/// heartbeat reads the store itself. Several hundred gateways doing so at once
-/// overload the store.
-constexpr milliseconds MaxReportInterval{700};
 /// Delay before a report on queued calls, which batches further calls.
 constexpr milliseconds UrgentReportDelay{2};
 /// Minimum time between two reports.
@@ -110,16 +100,10 @@
                                                         Address +
                                                         "\": " + ec.message());
   Duty.start();
-  reportAfter(MinReportInterval);
+  reportAfter(reportInterval(Self.members()));
   return Utils::success();
 }
 
-Utils::Milliseconds FleetAgent::reportInterval() const {
-  return std::clamp<Utils::Milliseconds>(ReportIntervalPerMember *
-                                             Self.members(),
-                                         MinReportInterval, MaxReportInterval);
-}
-
 void FleetAgent::reportAfter(Utils::Milliseconds delay) {
   NextReportAt = Utils::BootClock::now() + delay;
   ReportTimer.expires_at(NextReportAt);
@@ -144,7 +128,7 @@
 void FleetAgent::report() {
   Utils::TimePoint now = Utils::BootClock::now();
   LastReportAt = now;
-  reportAfter(reportInterval());
+  reportAfter(reportInterval(Self.members()));
   const auto &record = Duty.lease().Newest;
   if (!Holder && (!record || record->Released || record->Address == Address))
     return;
@@ -344,6 +328,11 @@
     Holder->announce(LastHolderAddress);
 }
 
+void FleetAgent::recordCrash(const Quarantine::Crash &crash) {
+  Self.recordCrash(crash, Utils::BootClock::now());
+  reportSoon();
+}
+
 void FleetAgent::onEndpoint(const std::string &id) {
   if (Holder)
     Holder->onEndpoint(id);
--- a/src/libs/gateway/fleetagent.h
+++ b/src/libs/gateway/fleetagent.h
@@ -46,6 +46,8 @@
   /// must wait for the answer to a grant request; see Context::OnDecisions.
   std::optional<Quota::Decision> requestTokens(const std::string &team,
                                                uint64_t call, double tokens);
+  /// An endpoint has crashed under calls of this gateway.
+  void recordCrash(const Quarantine::Crash &crash);
   void onEndpoint(const std::string &id);
   /// All endpoints' records before offset `next` have been read from the store.
   void onAllEndpointsRead(uint64_t next);
@@ -69,7 +71,6 @@
   void handleGrant(const FleetLink::Grant &grant);
   void onDutyRecordRead();
   void reportAfter(Utils::Milliseconds delay);
-  Utils::Milliseconds reportInterval() const;
   void send(const std::string &address, const FleetLink::Heartbeat &heartbeat);
   void handleHeartbeat(const FleetLink::Heartbeat &heartbeat);
   void recordStamp(const FleetLink::Heartbeat &heartbeat);
--- a/src/libs/gateway/fleetholder.cpp
+++ b/src/libs/gateway/fleetholder.cpp
@@ -31,6 +31,20 @@
 /// Minimum delay before a heartbeat with a change, which batches changes.
 constexpr milliseconds MinBroadcastDelay{3};
 
+/// Interval between reports in a small fleet. The holder's data on limits and
+/// loads is half an interval old on average.
+constexpr milliseconds MinReportInterval{250};
+/// Report interval per gateway of the fleet, so that the holder of up to 350
+/// gateways receives at most 500 reports per second.
+constexpr milliseconds ReportIntervalPerMember{2};
+/// Maximum report interval, below the time after which a gateway without a
+/// heartbeat reads the store itself. Several hundred gateways doing so at once
+/// overload the store.
+constexpr milliseconds MaxReportInterval{700};
+
+/// Interval of decisions on quarantines while no new crash is reported.
+constexpr milliseconds QuarantineUpdateInterval{50};
+
 /// Share of the VM's network link that endpoint entries may take while many
 /// gateways restart, and the heartbeats per second in a large fleet.
 constexpr double EntryShareOfLink = 0.25;
@@ -89,6 +103,11 @@
       milliseconds(gateways * msPerSecond / MaxChangeHeartbeatsPerSecond));
 }
 
+Utils::Milliseconds reportInterval(uint32_t gateways) {
+  return std::clamp<Utils::Milliseconds>(ReportIntervalPerMember * gateways,
+                                         MinReportInterval, MaxReportInterval);
+}
+
 FleetHolder::FleetHolder(Context context, int64_t token,
                          const TakeoverState &inherited)
     : Ctx(std::move(context)), Token(token), StartedAt(Utils::BootClock::now()),
@@ -100,6 +119,7 @@
       TableChanges(token, inherited.Table), PlanTimer(Ctx.Loop),
       NotifyTimer(Ctx.Loop), BroadcastTimer(Ctx.Loop) {
   RunnerContext = makeRunnerContext();
+  Crashes.adopt(inherited.Quarantines);
   onConfiguration();
   for (const auto &[id, endpoint] : Ctx.FleetView.endpoints().all())
     onEndpoint(id);
@@ -160,6 +180,7 @@
     Ctx.NoteLeaving(it.Endpoint, it.StartedUnixMs);
   for (const std::string &id : report.UnconfirmedEndpoints)
     noteEndpointChange(id, true);
+  recordCrashes(report, now);
   if (!report.Waiting.empty())
     schedulePlanAfter(UrgentPlanDelay);
   sendHeartbeat(member);
@@ -177,6 +198,34 @@
         adapter->LastUsed = now;
 }
 
+void FleetHolder::recordCrashes(const FleetLink::Report &report,
+                                Utils::TimePoint now) {
+  for (const FleetLink::EndpointCrash &it : report.Crashes)
+    Crashes.addCrash(toCrash(it, now));
+  for (const FleetLink::PartAnswer &it : report.AnsweredParts)
+    Crashes.addAnswer(it.Part, now - milliseconds(it.AgeMs));
+  Crashes.adopt(fromLink(report.Quarantined, now));
+  if (!report.Crashes.empty() || now >= NextQuarantineUpdateAt)
+    updateQuarantines(now);
+}
+
+void FleetHolder::updateQuarantines(Utils::TimePoint now) {
+  NextQuarantineUpdateAt = now + QuarantineUpdateInterval;
+  // The gateways' answers about a part come with their reports after the
+  // heartbeat that asks for them.
+  Utils::Milliseconds answerDelay =
+      fullBroadcastDelay() + 2 * reportInterval(liveMemberCount());
+  if (!Crashes.update(answerDelay, now))
+    return;
+  Utils::Event event("quarantine_decided");
+  event.with("entries", Crashes.quarantines().size())
+      .with("watched", Crashes.partsToWatch().size());
+  if (!Crashes.quarantines().empty())
+    event.with("parts", Crashes.quarantines().back().Matching.size());
+  event.warning();
+  broadcastSoon();
+}
+
 FleetLink::Grant
 FleetHolder::handleGrantRequest(const FleetLink::GrantRequest &request) {
   Utils::TimePoint now = Utils::BootClock::now();
@@ -393,6 +442,8 @@
                             return encodedEntry(id, revision);
                           });
   out.Loads = totalLoads();
+  out.Quarantined = toLink(Crashes.quarantines(), now);
+  out.WatchedParts = Crashes.partsToWatch();
   return out;
 }
 
--- a/src/libs/gateway/fleetholder.h
+++ b/src/libs/gateway/fleetholder.h
@@ -31,6 +31,9 @@
 /// not use up the holder's CPU time.
 Utils::Milliseconds broadcastDelay(uint32_t gateways);
 
+/// Interval between the reports of a gateway in a fleet of so many.
+Utils::Milliseconds reportInterval(uint32_t gateways);
+
 /// Coordinator of the fleet, run by the VM that holds the fleet's duty (the
 /// leader's lease): aggregates the gateways' reports, keeps the teams' token
 /// buckets, decides which models and adapters the engines load, and sends the
@@ -98,6 +101,9 @@
 
   // Gateways.
   void recordUse(const FleetLink::ModelCalls &use, Utils::TimePoint now);
+  /// Takes in what a gateway has seen of crashes, and decides on quarantines.
+  void recordCrashes(const FleetLink::Report &report, Utils::TimePoint now);
+  void updateQuarantines(Utils::TimePoint now);
   void sendHeartbeat(const Member &member);
   void notifyWaitingSoon();
   void broadcastSoon();
@@ -146,6 +152,9 @@
   std::shared_ptr<OrderRunner::Context> RunnerContext;
   Utils::TimePoint NextReportAt{};
   FleetLimiter Limits;
+  Quarantine::CrashLedger Crashes;
+  /// Decisions on quarantines without new crashes are rate-limited.
+  Utils::TimePoint NextQuarantineUpdateAt{};
   TableChangelog TableChanges;
   /// Encoded entry of an endpoint at one revision, cached for sending.
   struct CachedEntry {
--- a/src/libs/gateway/fleetmember.cpp
+++ b/src/libs/gateway/fleetmember.cpp
@@ -1,6 +1,7 @@
 #include "gateway/fleetmember.h"
 
 #include "gateway/gatewayconstants.h"
+#include "utils/utils.h"
 
 #include <algorithm>
 #include <utility>
@@ -153,6 +154,7 @@
   // A holder can't start from an incomplete table.
   if (Table.isComplete())
     out.Table = Table.known();
+  out.Quarantines = Evidence.quarantines();
   return out;
 }
 
@@ -183,6 +185,21 @@
   Table.markNotReady(endpoint, model, adapter, now + ModelMissCooldown);
 }
 
+void FleetMember::recordCrash(const Quarantine::Crash &crash, TimePoint now) {
+  Evidence.addCrash(crash, hasLiveHolder(now), now);
+}
+
+void FleetMember::recordAnswer(const Quarantine::Parts &parts,
+                               TimePoint beganAt) {
+  Evidence.addAnswer(parts, beganAt);
+}
+
+std::optional<TimePoint>
+FleetMember::quarantinedUntil(const Quarantine::Parts &parts,
+                              TimePoint now) const {
+  return Evidence.quarantinedUntil(parts, now);
+}
+
 /// Counters that differ from the newest ones that the holder has acknowledged.
 std::vector<FleetLink::TeamUsage> FleetMember::changedTeams() {
   std::vector<FleetLink::TeamUsage> out;
@@ -245,6 +262,7 @@
     }
   out.ModelMisses = std::move(ModelMisses);
   ModelMisses.clear();
+  Evidence.addTo(out, holderToken, now);
   return out;
 }
 
@@ -262,6 +280,10 @@
       limiter.setGatewayCount(assumedMembers(), now);
   applyTeamGrants(heartbeat.Teams, heartbeat.Token, heartbeat.Sequence, now);
   Table.apply(heartbeat, endpoints, now);
+  if (Evidence.apply(heartbeat, now))
+    Utils::Event("quarantine_changed")
+        .with("entries", quarantineCount())
+        .info();
   OtherLoads.clear();
   for (const FleetLink::EndpointCalls &it : heartbeat.Loads) {
     auto own = OwnLoads.find(it.Endpoint);
--- a/src/libs/gateway/fleetmember.h
+++ b/src/libs/gateway/fleetmember.h
@@ -4,6 +4,7 @@
 #include "balance/balance.h"
 #include "fleet/fleet.h"
 #include "fleetlink/fleetlink.h"
+#include "gateway/crashevidence.h"
 #include "gateway/fleettable.h"
 #include "quota/quota.h"
 #include "residency/residency.h"
@@ -25,6 +26,7 @@
 struct TakeoverState {
   std::map<std::string, double> Levels;
   KnownTable Table;
+  std::vector<Quarantine::Entry> Quarantines;
 };
 
 /// A gateway's membership in the fleet: what it reports to the holder of the
@@ -71,6 +73,17 @@
   void recordModelMiss(const std::string &endpoint, const std::string &model,
                        const std::string &adapter, TimePoint now);
 
+  // Prompt parts that crash endpoints.
+
+  void recordCrash(const Quarantine::Crash &crash, TimePoint now);
+  /// A call with these shared parts was answered; the answer began then.
+  void recordAnswer(const Quarantine::Parts &parts, TimePoint beganAt);
+  /// When the quarantine of a call with these shared parts ends; nothing if it
+  /// is not under one.
+  std::optional<TimePoint> quarantinedUntil(const Quarantine::Parts &parts,
+                                            TimePoint now) const;
+  size_t quarantineCount() const { return Evidence.quarantines().size(); }
+
   // Exchange with the holder.
 
   /// The next report, without the waiting calls.
@@ -143,6 +156,7 @@
   /// Token of the holder to which that report was sent.
   int64_t DemandSentToken = 0;
   std::vector<FleetLink::ModelMiss> ModelMisses;
+  CrashEvidence Evidence;
   std::map<uint32_t, uint32_t> OwnLoads;
   /// Counters by team in the newest reports and grant requests, by sequence.
   std::map<uint64_t, std::map<uint32_t, Quota::TokenCounters>> SentCounters;
--- a/src/libs/gateway/process.cpp
+++ b/src/libs/gateway/process.cpp
@@ -46,6 +46,10 @@
                       PendingAdmission.resolve(decisions);
                     }}),
       Crashes(loop), Random(std::random_device{}()) {
+  Crashes.OnCrash = [this](const Quarantine::Crash &crash) {
+    MetricsRegistry.add("hickory_gateway_endpoint_crashes_total", "");
+    Coordination.recordCrash(crash);
+  };
   PendingDispatch.OnAdded = [this] { Coordination.reportSoon(); };
 }
 
@@ -279,6 +283,8 @@
   registry.set("hickory_gateway_open_connections",
                double(CallerListener.connectionCount()));
   registry.set("hickory_gateway_members", State.Coordination.members());
+  registry.set("hickory_gateway_quarantines",
+               double(State.Coordination.member().quarantineCount()));
   registry.set("hickory_gateway_holds_duty", State.Coordination.isHolder());
   registry.set(
       "hickory_gateway_configuration_age_seconds",
--- a/tests/auto/fleetlink/tst_fleetlink.cpp
+++ b/tests/auto/fleetlink/tst_fleetlink.cpp
@@ -17,6 +17,9 @@
   out.Teams = {{hashName("kitchen"), -3, 4, 5, 6, 7}};
   out.Waiting = {{"s", "m", "a1", 2, 400}};
   out.ModelMisses = {{"i-1", "m", ""}};
+  out.Crashes = {{hashName("i-1"), 30, {{50, {1, 2}}}}};
+  out.AnsweredParts = {{1, 20}};
+  out.Quarantined = {{{2, 3}, 4000, 5000}};
   return out;
 }
 
@@ -31,6 +34,8 @@
   entry.Models = {{"m", 0, {{"a1", 15}}}};
   out.EncodedEntries = {encodeEntry(entry)};
   out.Loads = {{hashName("i-1"), 4}};
+  out.Quarantined = {{{2, 3}, 4000, 5000}};
+  out.WatchedParts = {1};
   return out;
 }
 
@@ -45,6 +50,9 @@
   CHECK(report->Teams[0].Demanded == 7);
   CHECK(report->Waiting[0].Adapter == "a1");
   CHECK(report->ModelMisses[0].Endpoint == "i-1");
+  CHECK(report->Crashes[0].Suspects[0].Parts == std::vector<uint64_t>{1, 2});
+  CHECK(report->AnsweredParts[0].AgeMs == 20);
+  CHECK(report->Quarantined[0].PeriodMs == 5000);
 }
 
 TEST_CASE("encoded heartbeat decodes to the same fields") {
@@ -55,6 +63,8 @@
   CHECK(heartbeat->Token == 9);
   CHECK(heartbeat->Teams[0].Level == -100);
   CHECK(heartbeat->Entries[0].Models[0].Adapters[0].ReadyInMs == 15);
+  CHECK(heartbeat->Quarantined[0].RemainingMs == 4000);
+  CHECK(heartbeat->WatchedParts == std::vector<uint64_t>{1});
 }
 
 TEST_CASE("encoded grant request and grant decode to the same fields") {
