Treat a stream that ends inside an event as broken off

Callers got a half event and then the regular end of their stream when the endpoint's connection ended inside an event, and a complete empty stream when it ended before the first one. The class: what an endpoint sent last was forwarded as complete because its framing was. A stream is now complete only behind a whole event, and behind at least one if nothing but the end of its connection says so; otherwise it fails, resumes or breaks like any lost exchange.

--- a/src/libs/gateway/call.h
+++ b/src/libs/gateway/call.h
@@ -50,6 +50,9 @@
   void abortOversizedAnswer();
   void onEnd(HttpIo::ExchangeResult end);
   void completeAnswer();
+  /// Whether the ended stream stops inside an event, or has none although
+  /// nothing but the end of its connection says that it is complete.
+  bool isStreamCutOff() const;
   void onSendFailed(Balance::AttemptResult end);
   /// The endpoint broke off the exchange.
   void onBrokenOff();
@@ -95,6 +98,8 @@
   std::optional<Utils::TimePoint> AnsweredAt;
   Http::ResponseHead Head;
   bool HeadIsAnswer = false;
+  /// The answer has neither a length nor chunks.
+  bool EndsWithConnection = false;
   bool NotExecuted = false;
   std::string Body;
 
--- a/src/libs/gateway/callsend.cpp
+++ b/src/libs/gateway/callsend.cpp
@@ -228,7 +228,7 @@
 }
 
 HttpIo::HeadVerdict Call::onHead(const Http::ResponseHead &head,
-                                 Http::Framing) {
+                                 Http::Framing framing) {
   ReplyMetadata reply = State.Clients.Calls.Reply(head);
   if (!reply.CallId.empty() && reply.CallId != Metadata.Id)
     return HttpIo::HeadVerdict::Skip;
@@ -238,6 +238,7 @@
   // response.
   HeadIsAnswer = reply.Genuine && !NotExecuted && reply.CallId == Metadata.Id;
   Head = head;
+  EndsWithConnection = framing == Http::Framing::Close;
   if (HeadIsAnswer) {
     AnsweredAt = Utils::BootClock::now();
     auto elapsed = *AnsweredAt - SentAt;
@@ -313,6 +314,10 @@
   }
   if (!HeadIsAnswer)
     return onSendFailed(Balance::AttemptResult::ConnectionFailed);
+  if (isStreamCutOff()) {
+    onBrokenOff();
+    return onSendFailed(Balance::AttemptResult::ConnectionFailed);
+  }
   bool repeatable = Route->Kind == Fleet::RouteKind::Safe && !Done &&
                     Head.Status >= 500 && RunsStarted < Route->Attempts &&
                     State.retryBudget(Service).takeRetry(SentAt);
@@ -348,6 +353,13 @@
                               {SharedParts, SentAt});
 }
 
+bool Call::isStreamCutOff() const {
+  if (!streams() || !isSuccess(Head.Status))
+    return false;
+  bool hasNoEvent = !AnswerStarted && EndsWithConnection;
+  return !Body.empty() || hasNoEvent;
+}
+
 void Call::completeAnswer() {
   if (Done)
     return;
@@ -361,7 +373,6 @@
   }
   beginStream();
   recordAnswer();
-  Caller->streamData(Body);
   Caller->endStream();
   finish("answered", Head.Status);
 }
--- a/tests/auto/gateway/troubles.cpp
+++ b/tests/auto/gateway/troubles.cpp
@@ -133,6 +133,32 @@
   CHECK(statusOf(call("/once/", "Content-Length: 0\r\n", "POST")) == 502);
 }
 
+// Issue 31: an answer without a length ends with its connection, so only its
+// last event shows whether it is complete.
+TEST_CASE_FIXTURE(TwoEndpointFixture,
+                  "stream without a length is complete if it ends behind an "
+                  "event, and broken off if it ends inside one") {
+  const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: @ID@\r\n"
+                           "Response-Seal: s\r\n"
+                           "Content-Type: text/event-stream\r\n\r\n";
+  script({head + event(1) + event(2), Action::Close});
+  RawCaller &whole = call("/stream/");
+  CHECK(statusOf(whole) == 200);
+  CHECK(whole.Received.find("id: 2") != std::string::npos);
+  CHECK(whole.Received.find("\r\n0\r\n\r\n") != std::string::npos);
+
+  script({head + event(1) + "id: 2\ndata: x", Action::Close});
+  RawCaller &broken = call("/stream/");
+  runUntil([&] { return broken.Ended; });
+  CHECK(broken.Received.find("id: 1") != std::string::npos);
+  CHECK(broken.Received.find("id: 2") == std::string::npos);
+  CHECK(broken.Received.find("\r\n0\r\n\r\n") == std::string::npos);
+
+  // Before its first event is complete, nothing has been forwarded.
+  script({head + "id: 1\ndata", Action::Close});
+  CHECK(statusOf(call("/stream/")) == 502);
+}
+
 TEST_CASE_FIXTURE(
     RestartedFixture,
     "restarted gateway uses neither a draining endpoint nor a revoked key") {
