--- a/src/libs/explain/gatewaycauses.cpp
+++ b/src/libs/explain/gatewaycauses.cpp
@@ -165,6 +165,8 @@
 constexpr char NoConfiguration[] =
     "the gateway had not read a configuration yet";
 constexpr char NoEndpoint[] = "no endpoint of its service was ready";
+constexpr char PartQuarantined[] =
+    "a part of its prompt has crashed several endpoints and is quarantined";
 constexpr char Leaving[] =
     "it was waiting at a gateway that began to shut down, and was not sent";
 
@@ -182,6 +184,7 @@
     {"malformed", fixedCause<Malformed>},
     {"no_configuration", fixedCause<NoConfiguration>},
     {"no_endpoint", fixedCause<NoEndpoint>},
+    {"part_quarantined", fixedCause<PartQuarantined>},
     {"leaving", fixedCause<Leaving>},
     {"no_time", unsentCause},
     {"deadline_unsent", unsentCause},
--- a/tests/auto/explain/tst_explain.cpp
+++ b/tests/auto/explain/tst_explain.cpp
@@ -267,6 +267,13 @@
   checkCauseContains("r", "come back in 250 ms");
 }
 
+TEST_CASE_FIXTURE(GatewayLogs, "explanation of a call with a quarantined "
+                               "prompt part names the crashes") {
+  add("g1", ended("part_quarantined", 503).with("retry_after_ms", 300000));
+  checkCauseContains("r", "prompt has crashed several endpoints");
+  checkCauseContains("r", "come back in 300000 ms");
+}
+
 TEST_CASE_FIXTURE(GatewayLogs, "explanation of a call that waited past its "
                                "deadline names the load that another gateway "
                                "abandoned") {
