Log the limits on calls that endpoints name

No line had the limit that an endpoint names in its answers, so that the logs could not tell a limit that nobody reads from one that all gateways exceed together. Answers' Server-Limit is decoded into the endpoint's notice; a new, changed or ended limit is logged as endpoint_limited.

--- a/src/libs/gateway/callsend.cpp
+++ b/src/libs/gateway/callsend.cpp
@@ -239,6 +239,8 @@
   HeadIsAnswer = reply.Genuine && !NotExecuted && reply.CallId == Metadata.Id;
   Head = head;
   EndsWithConnection = framing == Http::Framing::Close;
+  if (HeadIsAnswer && !reply.Notice.CallsPerSecond)
+    State.noteNoLimit(EndpointId);
   if (HeadIsAnswer) {
     AnsweredAt = Utils::BootClock::now();
     auto elapsed = *AnsweredAt - SentAt;
--- a/src/libs/gateway/callwire.h
+++ b/src/libs/gateway/callwire.h
@@ -51,6 +51,9 @@
   bool Leaving = false;
   /// Time during which the endpoint wants no requests from this VM.
   std::optional<Utils::Milliseconds> Backoff;
+  /// Calls that the endpoint takes from all gateways together; not set if it
+  /// names no limit.
+  std::optional<double> CallsPerSecond;
 };
 
 /// Metadata of an endpoint's response, decoded from its head.
--- /dev/null
+++ b/src/libs/gateway/endpointlimits.h
@@ -0,0 +1,48 @@
+#ifndef GATEWAY_ENDPOINTLIMITS_H
+#define GATEWAY_ENDPOINTLIMITS_H
+
+#include "utils/clock.h"
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace Gateway {
+
+using Utils::TimePoint;
+
+/// A limit on the calls that an endpoint takes from all gateways together.
+struct EndpointLimit {
+  /// Hash of the endpoint's id.
+  uint32_t Endpoint = 0;
+  /// Calls per second; 0 if the endpoint has stopped naming a limit.
+  double Rate = 0;
+  /// When an answer of the endpoint last said so.
+  TimePoint StatedAt{};
+};
+
+/// The limits that endpoints name in their answers. For each endpoint, the
+/// newest statement that any gateway has received counts. Does no input or
+/// output.
+class EndpointLimits {
+public:
+  /// An answer of the endpoint named a limit. Returns whether the limit is new
+  /// or different.
+  bool noteLimit(uint32_t endpoint, double rate, TimePoint now);
+  /// An answer of the endpoint named no limit. Returns whether that ends one.
+  bool noteNoLimit(uint32_t endpoint, TimePoint now);
+  /// Takes over a newer statement. Returns whether the limit is new, different
+  /// or ended.
+  bool merge(const EndpointLimit &limit);
+  /// Statements that are not out of date, for other gateways.
+  std::vector<EndpointLimit> statements(TimePoint now) const;
+  /// Limit of the endpoint in calls per second; 0 if it has none.
+  double rateOf(uint32_t endpoint, TimePoint now) const;
+
+private:
+  std::map<uint32_t, EndpointLimit> Limits;
+};
+
+} // namespace Gateway
+
+#endif // GATEWAY_ENDPOINTLIMITS_H
--- a/tests/auto/sitewire/tst_sitewire.cpp
+++ b/tests/auto/sitewire/tst_sitewire.cpp
@@ -140,6 +140,20 @@
   }
 }
 
+TEST_CASE("limit on calls is decoded from Server-Limit of any answer") {
+  for (unsigned status : {200U, 429U, 503U}) {
+    Http::ResponseHead head{status, "", {}};
+    CHECK_FALSE(Platform::decodeNotice(head).CallsPerSecond);
+    head.Headers.add("Server-Limit", "6.5");
+    CHECK(Platform::decodeNotice(head).CallsPerSecond == 6.5);
+  }
+  for (const char *it : {"-1", "few", "", "nan", "inf", "3 a second"}) {
+    Http::ResponseHead invalid{200, "", {}};
+    invalid.Headers.add("Server-Limit", it);
+    CHECK_FALSE(Platform::decodeNotice(invalid).CallsPerSecond);
+  }
+}
+
 TEST_CASE_FIXTURE(
     CallWireFixture,
     "response with a content encoding or without a signature is not genuine") {
