--- /dev/null
+++ b/tests/auto/endpointlimits/tst_endpointlimits.cpp
@@ -0,0 +1,70 @@
+#include "gatewayfixture.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+
+using namespace std::chrono_literals;
+
+namespace {
+
+/// The operators' bound: from this time after an endpoint first named a limit,
+/// it gets no more in any window than a factor of the limit and some calls.
+constexpr auto ContactTime = 3000ms;
+constexpr auto Window = 4000ms;
+constexpr double Factor = 1.5;
+constexpr size_t Slack = 5;
+
+constexpr double LimitPerSecond = 4;
+
+/// A gateway before two endpoints, of which the first names a limit.
+struct LimitFixture : GatewayFixture {
+  LimitFixture() {
+    addRoute("/safe/", "s", Fleet::RouteKind::Safe);
+    addEndpoint("s").AnswerFields = "Server-Limit: 4.0\r\n";
+    addEndpoint("s");
+    start();
+  }
+  ScriptedEndpoint &limited() { return Endpoints.front(); }
+  unsigned callOnce() {
+    Scripts = {{answer(200, "ok")}};
+    return statusOf(call("/safe/"));
+  }
+  /// Calls one after the other, at most one each 10 ms.
+  void callFor(std::chrono::milliseconds time) {
+    auto end = Utils::BootClock::now() + time;
+    while (Utils::BootClock::now() < end) {
+      CHECK(callOnce() == 200);
+      wait(10ms);
+    }
+  }
+  void wait(std::chrono::milliseconds time) {
+    bool over = false;
+    runAfter(time, [&] { over = true; });
+    runUntil([&] { return over; });
+  }
+  /// Most arrivals at the limited endpoint in a window that begins then or
+  /// later.
+  size_t mostArrivals(Utils::TimePoint from) {
+    const auto &times = limited().ArrivalTimes;
+    size_t most = 0;
+    for (auto it = times.begin(); it != times.end(); ++it)
+      if (*it >= from)
+        most = std::max(
+            most, size_t(std::lower_bound(it, times.end(), *it + Window) - it));
+    return most;
+  }
+};
+
+} // namespace
+
+// Issue 31, LIMIT: endpoints got far more calls than the limit that they named.
+TEST_CASE_FIXTURE(LimitFixture,
+                  "endpoint that names a limit gets no more calls than that, "
+                  "and other calls are served elsewhere") {
+  runUntil([&] { return callOnce() == 200 && !limited().Requests.empty(); });
+  auto named = Utils::BootClock::now();
+  callFor(ContactTime + Window + 1000ms);
+  CHECK(mostArrivals(named + ContactTime) <=
+        size_t(Factor * LimitPerSecond * 4) + Slack);
+  CHECK(limited().ArrivalTimes.size() > LimitPerSecond);
+}
--- a/tests/auto/gateway/gatewayfixture.cpp
+++ b/tests/auto/gateway/gatewayfixture.cpp
@@ -92,6 +92,7 @@
 void ScriptedEndpoint::play(const std::shared_ptr<Peer> &peer,
                             const Http::Request &request) {
   Requests.push_back(request);
+  ArrivalTimes.push_back(Utils::BootClock::now());
   for (const Http::Field &it : request.Headers)
     if (!CrashingText.empty() &&
         it.Value.find(CrashingText) != std::string::npos)
@@ -106,6 +107,8 @@
       text.replace(at, 4, id ? *id : "");
   };
   substituteId(script.Text);
+  if (size_t end = script.Text.find("\r\n"); end != std::string::npos)
+    script.Text.insert(end + 2, AnswerFields);
   for (std::string &it : script.Parts)
     substituteId(it);
   peer->Output = script.Text;
--- a/tests/auto/gateway/gatewayfixture.h
+++ b/tests/auto/gateway/gatewayfixture.h
@@ -40,6 +40,9 @@
   /// Time that it takes to start again after a crash.
   std::chrono::milliseconds RestartTime{100};
   int Crashes = 0;
+  /// Header fields that each scripted answer gets in addition.
+  std::string AnswerFields;
+  std::vector<Utils::TimePoint> ArrivalTimes;
   bool isDown() const { return !Acceptor.is_open(); }
   /// Number of connections that the gateway has closed.
   int Ended = 0;
