Keep calls within the limits that endpoints name

An endpoint in need got far more calls than the limit in its answers: no gateway read it (74 to 86 in 4 s where 43 to 54 are allowed), and the limit is on all gateways together. The class of fault: a limit on a shared resource that each user learns for itself and none accounts for the others.

The limit is enforced as a team's is, by the holder's bucket and tokens on demand (quota/), one token a call: so it holds when the holder changes, when messages are lost, and by each gateway's part without a holder. What an endpoint last said, to whichever gateway, counts: reports carry it until the holder has acknowledged it, heartbeats name all limits, each with its age; an answer without a limit, half a second after the last that named one, ends it, and so does a minute of silence. A call whose endpoint has no token left tries another, waits, or is refused with the time.

--- a/src/libs/balance/choose.h
+++ b/src/libs/balance/choose.h
@@ -22,7 +22,8 @@
   bool SameDomain = false;
   /// The call was sent to the endpoint before.
   bool Tried = false;
-  /// The endpoint accepts no calls from this VM before this time.
+  /// The endpoint accepts no calls from this VM before this time, or its limit
+  /// allows none.
   TimePoint CoolDownUntil{};
 };
 
--- a/src/libs/balance/healthtracker.cpp
+++ b/src/libs/balance/healthtracker.cpp
@@ -69,6 +69,10 @@
   health.CoolDownUntil = std::max(health.CoolDownUntil, until);
 }
 
+void HealthTracker::setOverLimit(const std::string &id, TimePoint until) {
+  HealthById[id].OverLimitUntil = until;
+}
+
 const EndpointHealth &HealthTracker::health(const std::string &id) const {
   static const EndpointHealth unknown;
   auto it = HealthById.find(id);
--- a/src/libs/balance/healthtracker.h
+++ b/src/libs/balance/healthtracker.h
@@ -35,6 +35,8 @@
   TimePoint AvoidUntil{};
   /// The endpoint asked this VM to send no calls before this time.
   TimePoint CoolDownUntil{};
+  /// No call of this VM is within the endpoint's limit before this time.
+  TimePoint OverLimitUntil{};
   /// Moving average of the time to first byte of answered calls, in
   /// milliseconds; 0 before the first.
   double FirstByteMs = 0;
@@ -48,6 +50,8 @@
   void onEnded(const std::string &id, AttemptResult result, TimePoint now);
   /// Starts or extends the endpoint's cool-down.
   void coolDown(const std::string &id, TimePoint until);
+  /// The endpoint's limit allows no call of this VM until then.
+  void setOverLimit(const std::string &id, TimePoint until);
   const EndpointHealth &health(const std::string &id) const;
   void remove(const std::string &id);
 
--- a/src/libs/fleetlink/fleetlink.cpp
+++ b/src/libs/fleetlink/fleetlink.cpp
@@ -30,6 +30,9 @@
 template <class Archive> void serialize(Archive &archive, LeavingEndpoint &it) {
   archive(it.Endpoint, it.StartedUnixMs);
 }
+template <class Archive> void serialize(Archive &archive, EndpointLimit &it) {
+  archive(it.Endpoint, it.Rate, it.AgeMs);
+}
 template <class Archive> void serialize(Archive &archive, SuspectCall &it) {
   archive(it.SentAgeMs, it.Parts);
 }
@@ -49,8 +52,8 @@
           it.Strength, it.StoreCallFailed, it.HeartbeatStampMs,
           it.HeartbeatAgeMs, it.Leaving, it.Teams, it.Levels, it.Waiting,
           it.Calls, it.Loads, it.ModelMisses, it.LeavingEndpoints,
-          it.UnconfirmedEndpoints, it.Crashes, it.AnsweredParts,
-          it.Quarantined);
+          it.UnconfirmedEndpoints, it.Crashes, it.AnsweredParts, it.Quarantined,
+          it.EndpointLimits);
 }
 template <class Archive> void serialize(Archive &archive, TeamGrant &it) {
   archive(it.Team, it.Level, it.Demand, it.Granted);
@@ -81,7 +84,7 @@
           it.Lineage, it.TableTakeoverRevision, it.TableTombstoneFloor,
           it.TableBaseRevision, it.TableRevision, it.TableComplete,
           it.TableBaseFromStore, it.EncodedEntries, it.Loads, it.Quarantined,
-          it.WatchedParts);
+          it.WatchedParts, it.EndpointLimits);
 }
 
 namespace {
@@ -105,6 +108,10 @@
   return uint32_t(Utils::fastHash(name));
 }
 
+std::string endpointLimitName(uint32_t endpoint) {
+  return "endpoint/" + std::to_string(endpoint);
+}
+
 std::string encodeEntry(const EndpointEntry &entry) {
   return Codec::encode(entry);
 }
--- a/src/libs/fleetlink/fleetlink.h
+++ b/src/libs/fleetlink/fleetlink.h
@@ -25,6 +25,10 @@
 /// Hash that stands for a name in messages that are sent often.
 uint32_t hashName(std::string_view name);
 
+/// Name of the rate limit on the calls to an endpoint. It is enforced like a
+/// team's, with one token for each call.
+std::string endpointLimitName(uint32_t endpoint);
+
 /// A gateway's counters of a team's tokens since its process started. See
 /// Quota::TokenCounters.
 struct TeamUsage {
@@ -86,6 +90,16 @@
   int64_t StartedUnixMs = 0;
 };
 
+/// A limit on the calls that an endpoint takes from all gateways together.
+struct EndpointLimit {
+  /// Hash of its id.
+  uint32_t Endpoint = 0;
+  /// Calls per second; 0 if the endpoint has stopped naming a limit.
+  double Rate = 0;
+  /// Time since an answer of the endpoint said so.
+  uint32_t AgeMs = 0;
+};
+
 /// A call that an endpoint had not begun to answer when it crashed.
 struct SuspectCall {
   /// Time since it was sent.
@@ -164,6 +178,9 @@
   std::vector<PartAnswer> AnsweredParts;
   /// Quarantines that the gateway knows, for a new holder.
   std::vector<QuarantinedParts> Quarantined;
+  /// Those that answers to this gateway have named since the previous report;
+  /// all that it knows for a holder that has not answered yet.
+  std::vector<EndpointLimit> EndpointLimits;
 };
 
 /// Request of a gateway to the holder for tokens of teams, between its reports.
@@ -288,6 +305,8 @@
   std::vector<QuarantinedParts> Quarantined;
   /// Parts about whose answers the holder asks.
   std::vector<uint64_t> WatchedParts;
+  /// The newest for each endpoint.
+  std::vector<EndpointLimit> EndpointLimits;
 };
 
 /// Encodes an entry as it is sent.
--- a/src/libs/gateway/call.cpp
+++ b/src/libs/gateway/call.cpp
@@ -117,15 +117,32 @@
 }
 
 void Call::requestTokens() {
-  TokenRequestId = State.PendingAdmission.nextId();
-  State.PendingAdmission.add(TokenRequestId, weak_from_this());
-  if (auto decision = State.Coordination.requestTokens(
-          Team->Name, TokenRequestId, tokenCost()))
-    State.PendingAdmission.resolve({*decision});
+  if (auto decision = requestTokensOf(Team->Name, tokenCost()))
+    onTeamDecided(*decision);
+}
+
+std::optional<Quota::Decision> Call::requestTokensOf(const std::string &limit,
+                                                     double tokens) {
+  uint64_t id = State.PendingAdmission.nextId();
+  TokenRequestId = id;
+  RequestedLimit = limit;
+  State.PendingAdmission.add(id, weak_from_this());
+  auto decision = State.Coordination.requestTokens(limit, id, tokens);
+  if (!decision)
+    return std::nullopt;
+  State.PendingAdmission.remove(id);
+  TokenRequestId = 0;
+  return decision;
 }
 
 void Call::onAdmissionDecided(const Quota::Decision &decision) {
   TokenRequestId = 0;
+  if (ReservedEndpoint.empty())
+    return onTeamDecided(decision);
+  onEndpointLimitDecided(decision);
+}
+
+void Call::onTeamDecided(const Quota::Decision &decision) {
   if (!decision.isAdmitted())
     return refuse(TooManyRequests, "over_limit", *decision.RetryAfter);
   TokensTaken = tokenCost();
@@ -136,7 +153,7 @@
   if (TokenRequestId == 0)
     return;
   State.PendingAdmission.remove(TokenRequestId);
-  State.Coordination.member().cancelAcquire(Team->Name, TokenRequestId);
+  State.Coordination.member().cancelAcquire(RequestedLimit, TokenRequestId);
   TokenRequestId = 0;
 }
 
--- a/src/libs/gateway/call.h
+++ b/src/libs/gateway/call.h
@@ -20,7 +20,8 @@
   bool retryDispatch();
   /// Refuses a queued call because the gateway shuts down.
   void refuseQueued();
-  /// The rate limit of the call's team has admitted or rejected it.
+  /// The rate limit of the call's team, or of the endpoint chosen for it, has
+  /// admitted or rejected it.
   void onAdmissionDecided(const Quota::Decision &decision);
   FleetLink::WaitingCalls queuedDemand(Utils::TimePoint now) const;
   bool isDone() const { return Done; }
@@ -30,6 +31,11 @@
   /// use the route.
   bool authenticate();
   void requestTokens();
+  /// Requests tokens of a limit, a team's or an endpoint's. Returns nothing if
+  /// the decision is pending.
+  std::optional<Quota::Decision> requestTokensOf(const std::string &limit,
+                                                 double tokens);
+  void onTeamDecided(const Quota::Decision &decision);
   void cancelTokenRequest();
   void proceed();
   double tokenCost() const;
@@ -41,6 +47,13 @@
   std::optional<std::string> pickEndpoint();
   std::vector<const Fleet::Endpoint *> eligibleEndpoints() const;
   bool isEligible(const Fleet::Endpoint &endpoint) const;
+  /// Sends the call to the endpoint if its limit allows it now. Returns false
+  /// if it does not.
+  bool sendWithinLimit(const std::string &endpoint);
+  void onEndpointLimitDecided(const Quota::Decision &decision);
+  void pauseOverLimit(const std::string &endpoint,
+                      const Quota::Decision &decision);
+  void startSending(const std::string &endpoint);
   void send(const Fleet::Endpoint &endpoint);
   HttpIo::ResponseCallbacks responseEvents();
   HttpIo::HeadVerdict onHead(const Http::ResponseHead &head,
@@ -118,6 +131,11 @@
   double TokensTaken = 0;
   /// Id of the pending token request; 0 if there is none.
   uint64_t TokenRequestId = 0;
+  /// Limit of which the pending request asks tokens.
+  std::string RequestedLimit;
+  /// Endpoint to which the call is sent when its limit admits it; empty while
+  /// none is chosen.
+  std::string ReservedEndpoint;
   uint32_t Sends = 0;
   uint32_t RunsStarted = 0;
   bool AnswerStarted = false;
--- a/src/libs/gateway/callsend.cpp
+++ b/src/libs/gateway/callsend.cpp
@@ -23,6 +23,10 @@
 /// the endpoint's crash may follow its first bytes.
 constexpr std::chrono::milliseconds MinAnswerTime{100};
 
+/// Longest time for which an endpoint is not chosen after its limit has
+/// rejected a call. Others may leave tokens unused meanwhile.
+constexpr std::chrono::milliseconds MaxOverLimitPause{500};
+
 bool isSuccess(unsigned status) { return status >= 200 && status < 300; }
 
 /// Returns the id of the last event in `events`, or an empty string if it has
@@ -109,7 +113,8 @@
              State.Coordination.member().loadOfOtherGateways(it->Report.Id),
          it->Report.Slots, health.AvoidUntil > SentAt,
          it->Report.FailureDomain == State.Settings.FailureDomain,
-         TriedEndpoints.count(it->Report.Id) > 0, health.CoolDownUntil});
+         TriedEndpoints.count(it->Report.Id) > 0,
+         std::max(health.CoolDownUntil, health.OverLimitUntil)});
   }
   BackoffEnd = Balance::earliestCoolDownEnd(candidates, SentAt);
   auto chosen = Balance::choose(candidates, SentAt, State.Random);
@@ -134,7 +139,8 @@
   endBetweenSends("no_endpoint", DefaultRetryAfter);
 }
 
-/// Returns true if the call has been sent or has ended.
+/// Returns true if the call has been sent, will be sent if the limit of the
+/// chosen endpoint admits it, or has ended.
 bool Call::tryDispatch() {
   SentAt = Utils::BootClock::now();
   if (Deadline - SentAt < MinTimeToSend) {
@@ -143,16 +149,60 @@
   }
   if (refuseQuarantined())
     return true;
-  auto id = pickEndpoint();
-  if (!id)
-    return false;
+  while (auto id = pickEndpoint())
+    if (sendWithinLimit(*id))
+      return true;
+  return false;
+}
+
+bool Call::sendWithinLimit(const std::string &endpoint) {
+  if (!State.Coordination.member().hasLimit(endpoint, SentAt)) {
+    startSending(endpoint);
+    return true;
+  }
+  constexpr double oneCall = 1;
+  ReservedEndpoint = endpoint;
+  auto decision = requestTokensOf(
+      FleetLink::endpointLimitName(FleetLink::hashName(endpoint)), oneCall);
+  if (!decision)
+    return true;
+  ReservedEndpoint.clear();
+  if (decision->isAdmitted())
+    startSending(endpoint);
+  else
+    pauseOverLimit(endpoint, *decision);
+  return decision->isAdmitted();
+}
+
+void Call::onEndpointLimitDecided(const Quota::Decision &decision) {
+  std::string id = std::exchange(ReservedEndpoint, {});
+  SentAt = Utils::BootClock::now();
+  if (!decision.isAdmitted()) {
+    pauseOverLimit(id, decision);
+    return dispatch();
+  }
+  const Fleet::Endpoint *endpoint = State.FleetView.endpoints().find(id);
+  if (endpoint && isEligible(*endpoint) && Deadline - SentAt >= MinTimeToSend)
+    return startSending(id);
+  State.Coordination.member().refundTokens(
+      FleetLink::endpointLimitName(FleetLink::hashName(id)), 1);
+  dispatch();
+}
+
+/// Chooses the endpoint no more until its limit may allow another call.
+void Call::pauseOverLimit(const std::string &endpoint,
+                          const Quota::Decision &decision) {
+  State.HealthTracker.setOverLimit(
+      endpoint, SentAt + std::min(*decision.RetryAfter, MaxOverLimitPause));
+}
+
+void Call::startSending(const std::string &endpoint) {
   if (QueuedSince != Utils::TimePoint{})
     QueuedFor += std::chrono::duration_cast<Utils::Milliseconds>(
         SentAt - std::exchange(QueuedSince, {}));
   if (Sends == 0)
     State.retryBudget(Service).onFirstAttempt(SentAt);
-  send(*State.FleetView.endpoints().find(*id));
-  return true;
+  send(*State.FleetView.endpoints().find(endpoint));
 }
 
 void Call::wait() {
@@ -240,7 +290,7 @@
   Head = head;
   EndsWithConnection = framing == Http::Framing::Close;
   if (HeadIsAnswer && !reply.Notice.CallsPerSecond)
-    State.noteNoLimit(EndpointId);
+    State.Coordination.noteEndpointLimit(EndpointId, std::nullopt);
   if (HeadIsAnswer) {
     AnsweredAt = Utils::BootClock::now();
     auto elapsed = *AnsweredAt - SentAt;
--- a/src/libs/gateway/endpointlimits.cpp
+++ b/src/libs/gateway/endpointlimits.cpp
@@ -1,5 +1,7 @@
 #include "gateway/endpointlimits.h"
 
+#include <algorithm>
+
 namespace Gateway {
 
 namespace {
@@ -15,6 +17,17 @@
 
 } // namespace
 
+FleetLink::EndpointLimit toLink(const EndpointLimit &limit, TimePoint now) {
+  return {
+      limit.Endpoint, limit.Rate,
+      uint32_t(std::max<int64_t>(0, Utils::msBetween(limit.StatedAt, now)))};
+}
+
+EndpointLimit fromLink(const FleetLink::EndpointLimit &limit, TimePoint now) {
+  return {limit.Endpoint, limit.Rate,
+          now - std::chrono::milliseconds(limit.AgeMs)};
+}
+
 bool EndpointLimits::noteLimit(uint32_t endpoint, double rate, TimePoint now) {
   return merge({endpoint, rate, now});
 }
@@ -50,6 +63,13 @@
   return out;
 }
 
+std::vector<EndpointLimit> EndpointLimits::all() const {
+  std::vector<EndpointLimit> out;
+  for (const auto &[endpoint, limit] : Limits)
+    out.push_back(limit);
+  return out;
+}
+
 double EndpointLimits::rateOf(uint32_t endpoint, TimePoint now) const {
   auto it = Limits.find(endpoint);
   bool holds = it != Limits.end() && now < it->second.StatedAt + LimitLifetime;
--- a/src/libs/gateway/endpointlimits.h
+++ b/src/libs/gateway/endpointlimits.h
@@ -1,6 +1,7 @@
 #ifndef GATEWAY_ENDPOINTLIMITS_H
 #define GATEWAY_ENDPOINTLIMITS_H
 
+#include "fleetlink/fleetlink.h"
 #include "utils/clock.h"
 
 #include <cstdint>
@@ -21,6 +22,9 @@
   TimePoint StatedAt{};
 };
 
+FleetLink::EndpointLimit toLink(const EndpointLimit &limit, TimePoint now);
+EndpointLimit fromLink(const FleetLink::EndpointLimit &limit, TimePoint now);
+
 /// The limits that endpoints name in their answers. For each endpoint, the
 /// newest statement that any gateway has received counts. Does no input or
 /// output.
@@ -36,6 +40,8 @@
   bool merge(const EndpointLimit &limit);
   /// Statements that are not out of date, for other gateways.
   std::vector<EndpointLimit> statements(TimePoint now) const;
+  /// All statements, whether or not out of date.
+  std::vector<EndpointLimit> all() const;
   /// Limit of the endpoint in calls per second; 0 if it has none.
   double rateOf(uint32_t endpoint, TimePoint now) const;
 
--- a/src/libs/gateway/fleetagent.cpp
+++ b/src/libs/gateway/fleetagent.cpp
@@ -198,11 +198,24 @@
                           TablePartIntervalPerMember * Self.members()));
 }
 
+void FleetAgent::noteEndpointLimit(const std::string &endpoint,
+                                   std::optional<double> rate) {
+  if (!Self.noteEndpointLimit(endpoint, rate, Utils::BootClock::now()))
+    return;
+  Utils::Event("endpoint_limited")
+      .with("endpoint", endpoint)
+      .with("rate", rate.value_or(0))
+      .info();
+  if (Holder)
+    Holder->noteEndpointLimit(endpoint, rate.value_or(0));
+  reportSoon();
+}
+
 std::optional<Quota::Decision>
-FleetAgent::requestTokens(const std::string &team, uint64_t call,
+FleetAgent::requestTokens(const std::string &limit, uint64_t call,
                           double tokens) {
   auto decision =
-      Self.acquireTokens(team, call, tokens, Utils::BootClock::now());
+      Self.acquireTokens(limit, call, tokens, Utils::BootClock::now());
   if (!decision)
     sendGrantRequestSoon();
   return decision;
@@ -234,7 +247,9 @@
   if (grant.Sequence >= InFlightRequest)
     InFlightRequest = 0;
   Ctx.OnDecisions(decisions);
-  if (InFlightRequest == 0 && Self.hasPendingAcquires())
+  // Requests that the holder has left open, as it does not know their limit
+  // yet, are repeated by the timer.
+  if (InFlightRequest == 0 && Self.hasUnrequestedAcquires())
     sendGrantRequest();
 }
 
--- a/src/libs/gateway/fleetagent.h
+++ b/src/libs/gateway/fleetagent.h
@@ -42,9 +42,13 @@
   Utils::Status start();
   /// Sends a report after a short delay that batches further changes.
   void reportSoon();
-  /// Requests tokens for a call. Returns the decision, or nothing if the call
-  /// must wait for the answer to a grant request; see Context::OnDecisions.
-  std::optional<Quota::Decision> requestTokens(const std::string &team,
+  /// An answer of the endpoint has named a limit of calls per second, or none.
+  void noteEndpointLimit(const std::string &endpoint,
+                         std::optional<double> rate);
+  /// Requests tokens of a limit for a call. Returns the decision, or nothing if
+  /// the call must wait for the answer to a grant request; see
+  /// Context::OnDecisions.
+  std::optional<Quota::Decision> requestTokens(const std::string &limit,
                                                uint64_t call, double tokens);
   /// An endpoint has crashed under calls of this gateway.
   void recordCrash(const Quarantine::Crash &crash);
--- a/src/libs/gateway/fleetholder.cpp
+++ b/src/libs/gateway/fleetholder.cpp
@@ -161,6 +161,8 @@
   if (sameProcess && report.Sequence <= member.LatestReport.Sequence)
     return;
   Limits.recordHeartbeat(report.Member, report.Leaving, now);
+  for (const FleetLink::EndpointLimit &it : report.EndpointLimits)
+    mergeEndpointLimit(fromLink(it, now), now);
   Limits.capLevels(report.Levels, now);
   Limits.applyUsage(report.Member, report.Incarnation, report.Sequence,
                     report.Teams, now);
@@ -198,6 +200,21 @@
         adapter->LastUsed = now;
 }
 
+void FleetHolder::mergeEndpointLimit(const EndpointLimit &limit,
+                                     Utils::TimePoint now) {
+  if (!LimitsOfEndpoints.merge(limit))
+    return;
+  Limits.setEndpointLimit(limit.Endpoint,
+                          LimitsOfEndpoints.rateOf(limit.Endpoint, now), now);
+  broadcastSoon();
+  schedulePlan();
+}
+
+void FleetHolder::noteEndpointLimit(const std::string &endpoint, double rate) {
+  Utils::TimePoint now = Utils::BootClock::now();
+  mergeEndpointLimit({FleetLink::hashName(endpoint), rate, now}, now);
+}
+
 void FleetHolder::recordCrashes(const FleetLink::Report &report,
                                 Utils::TimePoint now) {
   for (const FleetLink::EndpointCrash &it : report.Crashes)
@@ -444,6 +461,8 @@
   out.Loads = totalLoads();
   out.Quarantined = toLink(Crashes.quarantines(), now);
   out.WatchedParts = Crashes.partsToWatch();
+  for (const EndpointLimit &it : LimitsOfEndpoints.statements(now))
+    out.EndpointLimits.push_back(toLink(it, now));
   return out;
 }
 
--- a/src/libs/gateway/fleetholder.h
+++ b/src/libs/gateway/fleetholder.h
@@ -73,6 +73,9 @@
 
   /// Takes in a gateway's report and answers it with a heartbeat.
   void handleReport(const FleetLink::Report &report);
+  /// An answer to this VM has named another limit of the endpoint than before,
+  /// in calls per second; 0 if none.
+  void noteEndpointLimit(const std::string &endpoint, double rate);
   /// Grants a gateway tokens from the teams' buckets.
   FleetLink::Grant handleGrantRequest(const FleetLink::GrantRequest &request);
   /// The endpoint's record was added, changed or removed.
@@ -101,6 +104,7 @@
 
   // Gateways.
   void recordUse(const FleetLink::ModelCalls &use, Utils::TimePoint now);
+  void mergeEndpointLimit(const EndpointLimit &limit, Utils::TimePoint now);
   /// Takes in what a gateway has seen of crashes, and decides on quarantines.
   void recordCrashes(const FleetLink::Report &report, Utils::TimePoint now);
   void updateQuarantines(Utils::TimePoint now);
@@ -152,6 +156,7 @@
   std::shared_ptr<OrderRunner::Context> RunnerContext;
   Utils::TimePoint NextReportAt{};
   FleetLimiter Limits;
+  EndpointLimits LimitsOfEndpoints;
   Quarantine::CrashLedger Crashes;
   /// Decisions on quarantines without new crashes are rate-limited.
   Utils::TimePoint NextQuarantineUpdateAt{};
--- a/src/libs/gateway/fleetlimiter.cpp
+++ b/src/libs/gateway/fleetlimiter.cpp
@@ -69,6 +69,21 @@
   ShareUpdatedAt = {};
 }
 
+void FleetLimiter::setEndpointLimit(uint32_t endpoint, double rate,
+                                    TimePoint now) {
+  std::string name = FleetLink::endpointLimitName(endpoint);
+  Quota::Limit limit = Quota::endpointLimit(rate);
+  double level = limit.Burst;
+  if (auto it = Initial.Levels.find(name); it != Initial.Levels.end())
+    level = it->second;
+  constexpr double noOverdraft = 0;
+  uint32_t key = FleetLink::hashName(name);
+  auto added = Teams.try_emplace(
+      key, Team{name, {limit, level, noOverdraft, now}, true});
+  added.first->second.Bucket.setLimit(limit, now);
+  ShareUpdatedAt = {};
+}
+
 void FleetLimiter::recordHeartbeat(const std::string &member, bool leaving,
                                    TimePoint now) {
   Member &it = Members[member];
@@ -158,7 +173,9 @@
   };
   if (!teams) {
     for (auto &[key, team] : Teams)
-      add(key, team);
+      if (!team.IsEndpoint ||
+          (known != Members.end() && known->second.Granted.count(key) > 0))
+        add(key, team);
     return out;
   }
   for (const FleetLink::TeamUsage &use : *teams)
--- a/src/libs/gateway/fleetlimiter.h
+++ b/src/libs/gateway/fleetlimiter.h
@@ -39,6 +39,8 @@
   FleetLimiter(InitialState initial, TimePoint now);
 
   void setLimits(const Fleet::Configuration &config, TimePoint now);
+  /// Sets the limit on the calls to an endpoint; a rate of 0 lifts it.
+  void setEndpointLimit(uint32_t endpoint, double rate, TimePoint now);
   /// Records a heartbeat of a gateway. A gateway that is leaving admits no
   /// calls on its own.
   void recordHeartbeat(const std::string &member, bool leaving, TimePoint now);
@@ -53,8 +55,8 @@
                  TimePoint now);
   /// Bucket levels to store in the duty record; full buckets are left out.
   std::vector<FleetLink::TeamLevel> levelsToRecord(TimePoint now);
-  /// Bucket level, demand and grant of the member for each of `teams`, or for
-  /// all teams if it is null.
+  /// Bucket level, demand and grant of the member for each of `teams`; if it is
+  /// null, for all teams and for the endpoints that the member has used.
   std::vector<FleetLink::TeamGrant>
   totals(const std::string &member,
          const std::vector<FleetLink::TeamUsage> *teams, TimePoint now);
@@ -71,6 +73,8 @@
   struct Team {
     std::string Name;
     Quota::TokenAllocator Bucket;
+    /// The limit is on the calls to an endpoint.
+    bool IsEndpoint = false;
   };
   double initialLevel(const Fleet::Team &team) const;
   void updateGrantedShare(TimePoint now);
--- a/src/libs/gateway/fleetmember.cpp
+++ b/src/libs/gateway/fleetmember.cpp
@@ -64,6 +64,9 @@
     added.first->second.setLimit(limit, now);
   }
   StartFull = true;
+  for (const EndpointLimit &it : LimitsOfEndpoints.all())
+    limiters.insert(
+        Limiters.extract(FleetLink::endpointLimitName(it.Endpoint)));
   Limiters = std::move(limiters);
 }
 
@@ -78,21 +81,21 @@
 }
 
 std::optional<Quota::Decision>
-FleetMember::acquireTokens(const std::string &team, uint64_t call,
+FleetMember::acquireTokens(const std::string &limit, uint64_t call,
                            double tokens, TimePoint now) {
-  auto it = Limiters.find(team);
+  auto it = Limiters.find(limit);
   if (it == Limiters.end())
     return Quota::Decision{call, std::nullopt};
   return it->second.acquire(call, tokens, isHolderResponsive(now), now, Random);
 }
 
-void FleetMember::cancelAcquire(const std::string &team, uint64_t call) {
-  if (auto it = Limiters.find(team); it != Limiters.end())
+void FleetMember::cancelAcquire(const std::string &limit, uint64_t call) {
+  if (auto it = Limiters.find(limit); it != Limiters.end())
     it->second.cancel(call);
 }
 
-void FleetMember::refundTokens(const std::string &team, double tokens) {
-  if (auto it = Limiters.find(team); it != Limiters.end())
+void FleetMember::refundTokens(const std::string &limit, double tokens) {
+  if (auto it = Limiters.find(limit); it != Limiters.end())
     it->second.refund(tokens);
 }
 
@@ -102,6 +105,12 @@
   });
 }
 
+bool FleetMember::hasUnrequestedAcquires() const {
+  return std::any_of(Limiters.begin(), Limiters.end(), [](const auto &it) {
+    return it.second.hasUnrequestedCalls();
+  });
+}
+
 std::vector<Quota::Decision> FleetMember::expireAcquires(TimePoint now) {
   std::vector<Quota::Decision> out;
   for (auto &[team, limiter] : Limiters)
@@ -117,6 +126,8 @@
   if (std::exchange(TargetToken, token) == token)
     return;
   AckedCounters.clear();
+  for (const EndpointLimit &it : LimitsOfEndpoints.all())
+    UnackedLimits[it.Endpoint] = 0;
   for (auto &[team, limiter] : Limiters)
     limiter.ignoreGrantsBefore(Sequence);
 }
@@ -185,6 +196,45 @@
   Table.markNotReady(endpoint, model, adapter, now + ModelMissCooldown);
 }
 
+bool FleetMember::noteEndpointLimit(const std::string &endpoint,
+                                    std::optional<double> rate, TimePoint now) {
+  uint32_t key = FleetLink::hashName(endpoint);
+  bool changed = rate ? LimitsOfEndpoints.noteLimit(key, *rate, now)
+                      : LimitsOfEndpoints.noteNoLimit(key, now);
+  if (rate || changed)
+    UnackedLimits[key] = 0;
+  if (changed)
+    applyEndpointLimit(key, now);
+  return changed;
+}
+
+bool FleetMember::hasLimit(const std::string &endpoint, TimePoint now) const {
+  return LimitsOfEndpoints.rateOf(FleetLink::hashName(endpoint), now) > 0;
+}
+
+/// Applies the newest limit of the endpoint. A limiter whose limit has ended
+/// is kept: its counters are cumulative, also for the holder.
+void FleetMember::applyEndpointLimit(uint32_t endpoint, TimePoint now) {
+  Quota::Limit limit =
+      Quota::endpointLimit(LimitsOfEndpoints.rateOf(endpoint, now));
+  auto it = Limiters
+                .try_emplace(FleetLink::endpointLimitName(endpoint), limit,
+                             limit.Burst, assumedMembers(), now)
+                .first;
+  it->second.setLimit(limit, now);
+}
+
+void FleetMember::addEndpointLimits(FleetLink::Report &report, TimePoint now) {
+  for (const EndpointLimit &it : LimitsOfEndpoints.statements(now)) {
+    auto unacked = UnackedLimits.find(it.Endpoint);
+    if (unacked == UnackedLimits.end())
+      continue;
+    report.EndpointLimits.push_back(toLink(it, now));
+    if (unacked->second == 0)
+      unacked->second = report.Sequence;
+  }
+}
+
 void FleetMember::recordCrash(const Quarantine::Crash &crash, TimePoint now) {
   Evidence.addCrash(crash, hasLiveHolder(now), now);
 }
@@ -263,6 +313,7 @@
   out.ModelMisses = std::move(ModelMisses);
   ModelMisses.clear();
   Evidence.addTo(out, holderToken, now);
+  addEndpointLimits(out, now);
   return out;
 }
 
@@ -280,6 +331,13 @@
       limiter.setGatewayCount(assumedMembers(), now);
   applyTeamGrants(heartbeat.Teams, heartbeat.Token, heartbeat.Sequence, now);
   Table.apply(heartbeat, endpoints, now);
+  if (heartbeat.Token == TargetToken)
+    std::erase_if(UnackedLimits, [&](const auto &it) {
+      return it.second > 0 && it.second <= heartbeat.Sequence;
+    });
+  for (const FleetLink::EndpointLimit &it : heartbeat.EndpointLimits)
+    if (LimitsOfEndpoints.merge(fromLink(it, now)))
+      applyEndpointLimit(it.Endpoint, now);
   if (Evidence.apply(heartbeat, now))
     Utils::Event("quarantine_changed")
         .with("entries", quarantineCount())
--- a/src/libs/gateway/fleetmember.h
+++ b/src/libs/gateway/fleetmember.h
@@ -5,6 +5,7 @@
 #include "fleet/fleet.h"
 #include "fleetlink/fleetlink.h"
 #include "gateway/crashevidence.h"
+#include "gateway/endpointlimits.h"
 #include "gateway/fleettable.h"
 #include "quota/quota.h"
 #include "residency/residency.h"
@@ -44,17 +45,19 @@
   /// Sets the number of gateways from the duty's record; used until a holder
   /// sends the current number.
   void setRecordedMembers(uint32_t members, TimePoint now);
-  /// Requests tokens of the team for a call. Returns nothing if the decision is
-  /// pending: it is made by the answer to a grant request, which the caller
-  /// must send, or by expireAcquires().
-  std::optional<Quota::Decision> acquireTokens(const std::string &team,
+  /// Requests tokens of the limit, a team's or an endpoint's, for a call.
+  /// Returns nothing if the decision is pending: it is made by the answer to a
+  /// grant request, which the caller must send, or by expireAcquires().
+  std::optional<Quota::Decision> acquireTokens(const std::string &limit,
                                                uint64_t call, double tokens,
                                                TimePoint now);
   /// Drops the pending request of a call.
-  void cancelAcquire(const std::string &team, uint64_t call);
-  void refundTokens(const std::string &team, double tokens);
+  void cancelAcquire(const std::string &limit, uint64_t call);
+  void refundTokens(const std::string &limit, double tokens);
   /// Whether calls wait for tokens.
   bool hasPendingAcquires() const;
+  /// Whether calls wait for tokens that no message has requested yet.
+  bool hasUnrequestedAcquires() const;
   /// Decides locally the requests that the holder has not answered in time.
   std::vector<Quota::Decision> expireAcquires(TimePoint now);
   FleetLink::GrantRequest makeGrantRequest(int64_t holderToken, TimePoint now);
@@ -73,6 +76,15 @@
   void recordModelMiss(const std::string &endpoint, const std::string &model,
                        const std::string &adapter, TimePoint now);
 
+  // Limits of endpoints.
+
+  /// An answer of the endpoint has named a limit of calls per second, or none.
+  /// Returns whether the endpoint's limit has changed.
+  bool noteEndpointLimit(const std::string &endpoint,
+                         std::optional<double> rate, TimePoint now);
+  /// Whether a call needs a token of endpointLimitName() to be sent.
+  bool hasLimit(const std::string &endpoint, TimePoint now) const;
+
   // Prompt parts that crash endpoints.
 
   void recordCrash(const Quarantine::Crash &crash, TimePoint now);
@@ -131,6 +143,8 @@
   void applyTeamGrants(const std::vector<FleetLink::TeamGrant> &teams,
                        int64_t holderToken, uint64_t sequence, TimePoint now);
   uint32_t assumedMembers() const;
+  void applyEndpointLimit(uint32_t endpoint, TimePoint now);
+  void addEndpointLimits(FleetLink::Report &report, TimePoint now);
   bool isHolderResponsive(TimePoint now) const;
 
   std::string Name;
@@ -157,6 +171,10 @@
   int64_t DemandSentToken = 0;
   std::vector<FleetLink::ModelMiss> ModelMisses;
   CrashEvidence Evidence;
+  EndpointLimits LimitsOfEndpoints;
+  /// Endpoints whose limits the present holder may not know as this gateway
+  /// does, with the first report that lists them; 0 if none has yet.
+  std::map<uint32_t, uint64_t> UnackedLimits;
   std::map<uint32_t, uint32_t> OwnLoads;
   /// Counters by team in the newest reports and grant requests, by sequence.
   std::map<uint64_t, std::map<uint32_t, Quota::TokenCounters>> SentCounters;
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -8,7 +8,6 @@
 #include "gateway/callwire.h"
 #include "gateway/crashwatch.h"
 #include "gateway/dispatchqueue.h"
-#include "gateway/endpointlimits.h"
 #include "gateway/engineclient.h"
 #include "gateway/fleetagent.h"
 #include "gateway/gatewaysettings.h"
@@ -49,7 +48,6 @@
   AdmissionQueue PendingAdmission;
   FleetAgent Coordination;
   CrashWatch Crashes;
-  EndpointLimits Limits;
   std::map<std::string, Balance::RetryBudget> RetryBudgets;
   std::mt19937_64 Random;
   std::function<void()> OnDutyTaken;
@@ -65,11 +63,8 @@
   Balance::RetryBudget &retryBudget(const std::string &service);
   /// Applies the status that an endpoint reported in a response.
   void applyNotice(const std::string &endpoint, const EndpointNotice &notice);
-  /// The endpoint has answered a call without naming a limit.
-  void noteNoLimit(const std::string &endpoint);
 
 private:
-  void onLimitChanged(const std::string &endpoint);
   Balance::RetryBudget::Policy retryPolicy() const;
 };
 
--- a/src/libs/gateway/holderengines.cpp
+++ b/src/libs/gateway/holderengines.cpp
@@ -414,12 +414,14 @@
     return;
   updateStoreLoadLimit();
   checkOverdueStoreLoads();
+  Utils::TimePoint now = Utils::BootClock::now();
   std::map<uint32_t, uint32_t> loads;
   for (const FleetLink::EndpointCalls &it : totalLoads())
     loads[it.Endpoint] = it.Calls;
   for (auto &[id, replica] : Replicas) {
     auto load = loads.find(FleetLink::hashName(id));
     replica.Load = load == loads.end() ? 0 : load->second;
+    replica.CallLimit = LimitsOfEndpoints.rateOf(FleetLink::hashName(id), now);
   }
   std::vector<Residency::PendingCalls> pendingCalls = collectPendingCalls();
   Residency::PlanInput input{
--- a/src/libs/gateway/process.cpp
+++ b/src/libs/gateway/process.cpp
@@ -76,10 +76,8 @@
   const Fleet::Endpoint *known = FleetView.endpoints().find(endpoint);
   if (notice.Leaving && known)
     FleetView.noteLeaving(endpoint, known->Report.StartedUnixMs);
-  if (notice.CallsPerSecond &&
-      Limits.noteLimit(FleetLink::hashName(endpoint), *notice.CallsPerSecond,
-                       Utils::BootClock::now()))
-    onLimitChanged(endpoint);
+  if (notice.CallsPerSecond)
+    Coordination.noteEndpointLimit(endpoint, notice.CallsPerSecond);
   if (!notice.Backoff)
     return;
   HealthTracker.coolDown(endpoint, Utils::BootClock::now() + *notice.Backoff);
@@ -89,20 +87,6 @@
       .info();
 }
 
-void GatewayState::noteNoLimit(const std::string &endpoint) {
-  if (Limits.noteNoLimit(FleetLink::hashName(endpoint),
-                         Utils::BootClock::now()))
-    onLimitChanged(endpoint);
-}
-
-void GatewayState::onLimitChanged(const std::string &endpoint) {
-  Utils::Event("endpoint_limited")
-      .with("endpoint", endpoint)
-      .with("rate", Limits.rateOf(FleetLink::hashName(endpoint),
-                                  Utils::BootClock::now()))
-      .info();
-}
-
 Process::Process(asio::io_context &loop, GatewaySettings settings,
                  PlatformClients clients)
     : Loop(loop), State(loop, std::move(settings), std::move(clients)),
--- a/src/libs/quota/gatewaylimiter.cpp
+++ b/src/libs/quota/gatewaylimiter.cpp
@@ -100,6 +100,11 @@
   return std::nullopt;
 }
 
+bool GatewayLimiter::hasUnrequestedCalls() const {
+  return std::any_of(Waiting.begin(), Waiting.end(),
+                     [](const WaitingCall &it) { return it.RequestedIn == 0; });
+}
+
 void GatewayLimiter::cancel(uint64_t call) {
   std::erase_if(Waiting,
                 [&](const WaitingCall &it) { return it.Call == call; });
--- a/src/libs/quota/gatewaylimiter.h
+++ b/src/libs/quota/gatewaylimiter.h
@@ -62,6 +62,8 @@
   TokenCounters prepareReport(uint64_t sequence);
   const TokenCounters &counters() const { return Counters; }
   bool hasWaitingCalls() const { return !Waiting.empty(); }
+  /// Whether calls wait whose tokens no report has requested yet.
+  bool hasUnrequestedCalls() const;
   /// Applies the answer to the report numbered `sequence` and decides the calls
   /// whose tokens that report requested.
   std::vector<Decision> applyAnswer(const HolderAnswer &answer,
--- a/src/libs/quota/tokenbucket.cpp
+++ b/src/libs/quota/tokenbucket.cpp
@@ -4,6 +4,14 @@
 
 namespace Quota {
 
+Limit endpointLimit(double callsPerSecond) {
+  constexpr double burstSeconds = 1;
+  constexpr double minBurst = 1; // One call.
+  if (callsPerSecond <= 0)
+    return {};
+  return {callsPerSecond, std::max(minBurst, callsPerSecond * burstSeconds)};
+}
+
 TokenBucket::TokenBucket(const Limit &limit, double level, TimePoint now)
     : CurrentLimit(limit), Level(std::min(level, limit.Burst)),
       RefilledAt(now) {}
--- a/src/libs/quota/tokenbucket.h
+++ b/src/libs/quota/tokenbucket.h
@@ -17,6 +17,10 @@
   bool operator==(const Limit &) const = default;
 };
 
+/// Limit on the calls to an endpoint, one token for each call; a rate of 0
+/// means unlimited.
+Limit endpointLimit(double callsPerSecond);
+
 /// Token bucket whose level may go below zero.
 class TokenBucket {
 public:
--- a/src/libs/residency/enginereplica.h
+++ b/src/libs/residency/enginereplica.h
@@ -59,6 +59,8 @@
   std::vector<std::string> OnDisk;
   /// In-flight calls of all VMs.
   uint32_t Load = 0;
+  /// Calls per second that it takes from all VMs; 0 if it names no limit.
+  double CallLimit = 0;
 
   HeldModel *find(const std::string &model);
   const HeldModel *find(const std::string &model) const;
--- a/src/libs/residency/plan.cpp
+++ b/src/libs/residency/plan.cpp
@@ -130,7 +130,9 @@
     for (const auto &[key, load] : loadByModel())
       if (const Fleet::Engine *engine = Input.EngineOf(key.Service);
           engine && engine->Slots > 0) {
-        double utilization = load / (double(replicaCount(key)) * engine->Slots);
+        double utilization =
+            std::max(load / (double(replicaCount(key)) * engine->Slots),
+                     limitUtilization(key) * ScaleOutUtilization);
         if (utilization > ScaleOutUtilization)
           overloaded.emplace_back(utilization, key);
       }
@@ -163,14 +165,43 @@
     return n == 0 ? 0 : callRate(key) / n;
   }
 
+  /// Calls per second of all models that the engine holds.
+  double callRateAt(const EngineReplica &replica) const {
+    double sum = 0;
+    for (const HeldModel &it : replica.Models)
+      sum += callRatePerReplica({replica.Service, it.Name});
+    return sum;
+  }
+
+  /// Call rate of the model relative to what the limits of its engines allow
+  /// it, in proportion to the rates of the models there; 0 if an engine that
+  /// holds it has no limit.
+  double limitUtilization(const ModelKey &key) const {
+    double allowed = 0;
+    for (const auto &[id, replica] : Input.Replicas) {
+      const HeldModel *held =
+          replica.Service == key.Service ? replica.find(key.Model) : nullptr;
+      if (!held || !replica.Usable || held->isUnloading())
+        continue;
+      if (replica.CallLimit == 0)
+        return 0;
+      if (double rate = callRateAt(replica); rate > 0)
+        allowed += replica.CallLimit * callRatePerReplica(key) / rate;
+    }
+    return allowed > 0 ? callRate(key) / allowed : 0;
+  }
+
+  /// Whether the models that the engine holds use up its limit.
+  bool isOverLimit(const EngineReplica &replica) const {
+    return replica.CallLimit > 0 && callRateAt(replica) >= replica.CallLimit;
+  }
+
   /// In-flight calls by model: those of an engine are divided among its models
   /// in proportion to their call rates.
   std::map<ModelKey, double> loadByModel() const {
     std::map<ModelKey, double> out;
     for (const auto &[id, replica] : Input.Replicas) {
-      double sum = 0;
-      for (const HeldModel &it : replica.Models)
-        sum += callRatePerReplica({replica.Service, it.Name});
+      double sum = callRateAt(replica);
       for (const HeldModel &it : replica.Models)
         if (sum > 0 && replica.Usable && !it.isUnloading()) {
           ModelKey key{replica.Service, it.Name};
@@ -188,7 +219,7 @@
     std::optional<LoadOption> best;
     for (const auto &[id, replica] : Input.Replicas) {
       if (replica.Service != key.Service || !canChangeModels(replica) ||
-          replica.find(key.Model))
+          isOverLimit(replica) || replica.find(key.Model))
         continue;
       auto option = optionAt(replica, engine, model, calls, allowStore);
       if (option && (!best || option->Cost < best->Cost))
--- /dev/null
+++ b/tests/auto/endpointlimits/limitfleet.cpp
@@ -0,0 +1,215 @@
+#include "gateway/fleetlimiter.h"
+#include "gateway/fleetmember.h"
+
+#include <algorithm>
+#include <deque>
+#include <doctest/doctest.h>
+#include <random>
+
+using namespace std::chrono_literals;
+using Gateway::EndpointLimits;
+using Utils::TimePoint;
+
+namespace {
+
+constexpr uint32_t Endpoint = 7;
+
+/// Gateways and their holder in logical time, before one endpoint with a limit.
+/// Messages arrive at once, or are lost.
+class LimitFleet {
+public:
+  LimitFleet(size_t gateways, double rate, uint64_t seed)
+      : Random(seed), Rate(rate) {
+    for (size_t i = 0; i < gateways; ++i)
+      Members.emplace_back("g" + std::to_string(i), "a", i + 1, true);
+    NextReportAt.resize(gateways);
+    electHolder({});
+  }
+
+  /// A new holder starts from what the last one told gateway 0.
+  void electHolder(const std::map<std::string, double> &levels) {
+    ++Token;
+    Holder.emplace(
+        Gateway::FleetLimiter::InitialState{levels, std::nullopt, false,
+                                            uint32_t(Members.size()), 20'000.0},
+        Now);
+    Statements = {};
+  }
+  void changeHolder() { electHolder(Members[0].takeoverState(Now).Levels); }
+
+  /// The endpoint names its limit in an answer to that gateway.
+  void nameLimit(size_t gateway) {
+    Members[gateway].noteEndpointLimit("e", Rate, Now);
+  }
+
+  void run(Utils::Milliseconds time, double callsPerSecond) {
+    for (auto end = Now + time; Now < end;) {
+      Now += 5ms;
+      for (size_t i = 0; i < Members.size(); ++i)
+        step(i);
+      for (Due += callsPerSecond * 0.005; Due >= 1; Due -= 1)
+        call(size_t(Random() % Members.size()));
+    }
+  }
+
+  size_t mostIn(Utils::Milliseconds window) const {
+    size_t most = 0;
+    for (auto it = Sent.begin(); it != Sent.end(); ++it)
+      most = std::max(
+          most, size_t(std::lower_bound(it, Sent.end(), *it + window) - it));
+    return most;
+  }
+
+  std::deque<Gateway::FleetMember> Members;
+  std::vector<TimePoint> Sent;
+  int LossPercent = 0;
+  TimePoint Now = TimePoint{} + 1h;
+
+private:
+  bool isLost() { return int(Random() % 100) < LossPercent; }
+  std::string limitName() const {
+    return FleetLink::endpointLimitName(FleetLink::hashName("e"));
+  }
+
+  void step(size_t i) {
+    decide(i, Members[i].expireAcquires(Now));
+    if (Members[i].hasPendingAcquires() && Now.time_since_epoch() % 40ms == 0ms)
+      request(i);
+    if (Now < NextReportAt[i])
+      return;
+    NextReportAt[i] = Now + std::clamp<Utils::Milliseconds>(
+                                2ms * Members.size(), 250ms, 700ms);
+    auto report = Members[i].makeReport({}, {}, Token, Now);
+    if (isLost())
+      return;
+    Holder->recordHeartbeat(report.Member, false, Now);
+    for (const FleetLink::EndpointLimit &it : report.EndpointLimits)
+      if (Statements.merge(Gateway::fromLink(it, Now)))
+        Holder->setEndpointLimit(it.Endpoint,
+                                 Statements.rateOf(it.Endpoint, Now), Now);
+    Holder->applyUsage(report.Member, report.Incarnation, report.Sequence,
+                       report.Teams, Now);
+    FleetLink::Heartbeat heartbeat;
+    heartbeat.Token = Token;
+    heartbeat.Incarnation = report.Incarnation;
+    heartbeat.Sequence = report.Sequence;
+    heartbeat.Members = uint32_t(Members.size());
+    heartbeat.Teams = Holder->totals(report.Member, nullptr, Now);
+    for (const Gateway::EndpointLimit &it : Statements.statements(Now))
+      heartbeat.EndpointLimits.push_back(Gateway::toLink(it, Now));
+    if (isLost())
+      return;
+    Members[i].apply(heartbeat, {}, Now);
+    decide(i, Members[i].takeDecisions());
+  }
+
+  void call(size_t i) {
+    if (!Members[i].hasLimit("e", Now))
+      return Sent.push_back(Now);
+    if (auto decision =
+            Members[i].acquireTokens(limitName(), ++LastCall, 1, Now))
+      return decide(i, {*decision});
+    request(i);
+  }
+
+  void request(size_t i) {
+    auto request = Members[i].makeGrantRequest(Token, Now);
+    if (isLost())
+      return;
+    Holder->applyUsage(request.Member, request.Incarnation, request.Sequence,
+                       request.Teams, Now);
+    FleetLink::Grant grant{Token, request.Incarnation, request.Sequence,
+                           Holder->totals(request.Member, &request.Teams, Now)};
+    if (!isLost())
+      decide(i, Members[i].apply(grant, Now));
+  }
+
+  void decide(size_t, const std::vector<Quota::Decision> &decisions) {
+    for (const Quota::Decision &it : decisions)
+      if (it.isAdmitted())
+        Sent.push_back(Now);
+  }
+
+  std::mt19937_64 Random;
+  double Rate;
+  std::vector<TimePoint> NextReportAt;
+  std::optional<Gateway::FleetLimiter> Holder;
+  EndpointLimits Statements;
+  int64_t Token = 0;
+  double Due = 0;
+  uint64_t LastCall = 0;
+};
+
+size_t allowedIn4s(double rate) { return size_t(1.5 * rate * 4) + 5; }
+
+} // namespace
+
+// Issue 31, LIMIT: the limit is that of all gateways together.
+TEST_CASE("gateways together keep to an endpoint's limit and use it") {
+  for (size_t gateways : {1U, 8U, 81U, 195U, 420U})
+    for (double rate : {0.5, 3.0, 6.6, 40.0}) {
+      CAPTURE(gateways);
+      CAPTURE(rate);
+      LimitFleet fleet(gateways, rate, gateways);
+      fleet.run(1s, 0);
+      fleet.nameLimit(gateways - 1);
+      // The limit is known everywhere after two reports.
+      fleet.run(1500ms, 0);
+      fleet.run(12s, 4 * rate);
+      CHECK(fleet.mostIn(4s) <= allowedIn4s(rate));
+      CHECK(double(fleet.Sent.size()) >= 0.9 * rate * 12);
+    }
+}
+
+// The holder dies, and messages are lost.
+TEST_CASE("gateways keep to an endpoint's limit when the holder changes and "
+          "messages are lost") {
+  for (uint64_t seed = 1; seed <= 40; ++seed)
+    for (size_t gateways : {8U, 195U}) {
+      CAPTURE(seed);
+      CAPTURE(gateways);
+      constexpr double rate = 6.6;
+      LimitFleet fleet(gateways, rate, seed);
+      fleet.LossPercent = int(seed % 4) * 5;
+      fleet.run(1s, 0);
+      fleet.nameLimit(seed % gateways);
+      fleet.run(3s, 0);
+      fleet.run(Utils::Milliseconds(3000 + 100 * seed), 3 * rate);
+      fleet.changeHolder();
+      fleet.run(6s, 3 * rate);
+      CHECK(fleet.mostIn(4s) <= allowedIn4s(rate));
+    }
+}
+
+TEST_CASE("limit of an endpoint ends with an answer that names none") {
+  EndpointLimits limits;
+  TimePoint now = TimePoint{} + 1h;
+  CHECK(limits.noteLimit(Endpoint, 5, now));
+  CHECK_FALSE(limits.noteLimit(Endpoint, 5, now + 1s));
+  // Answers on several connections may overtake each other.
+  CHECK_FALSE(limits.noteNoLimit(Endpoint, now + 1100ms));
+  CHECK(limits.rateOf(Endpoint, now + 1200ms) == 5);
+  CHECK(limits.noteNoLimit(Endpoint, now + 2s));
+  CHECK(limits.rateOf(Endpoint, now + 2s) == 0);
+}
+
+TEST_CASE("newest statement about an endpoint's limit prevails in any order") {
+  EndpointLimits limits;
+  TimePoint now = TimePoint{} + 1h;
+  CHECK(limits.merge({Endpoint, 8, now}));
+  CHECK_FALSE(limits.merge({Endpoint, 3, now - 1s}));
+  CHECK(limits.rateOf(Endpoint, now) == 8);
+  CHECK(limits.merge({Endpoint, 3, now + 1s}));
+  CHECK(limits.merge({Endpoint, 0, now + 2s}));
+  CHECK_FALSE(limits.merge({Endpoint, 3, now + 1s}));
+  CHECK(limits.rateOf(Endpoint, now + 2s) == 0);
+}
+
+TEST_CASE("limit of an endpoint that gives no more answers lapses") {
+  EndpointLimits limits;
+  TimePoint now = TimePoint{} + 1h;
+  limits.noteLimit(Endpoint, 5, now);
+  CHECK(limits.rateOf(Endpoint, now + 59s) == 5);
+  CHECK(limits.rateOf(Endpoint, now + 61s) == 0);
+  CHECK(limits.statements(now + 61s).empty());
+}
--- a/tests/auto/endpointlimits/tst_endpointlimits.cpp
+++ b/tests/auto/endpointlimits/tst_endpointlimits.cpp
@@ -57,6 +57,16 @@
 
 } // namespace
 
+// The holder of the duty answered its own grant request without end while it
+// did not know the limit yet, and the process ended with a stack overflow.
+TEST_CASE_FIXTURE(LimitFixture,
+                  "call that needs a token right after the endpoint has named "
+                  "its limit is served") {
+  drainEndpoint("i-2");
+  for (int i = 0; i < 3; ++i)
+    CHECK(callOnce() == 200);
+}
+
 // Issue 31, LIMIT: endpoints got far more calls than the limit that they named.
 TEST_CASE_FIXTURE(LimitFixture,
                   "endpoint that names a limit gets no more calls than that, "
--- a/tests/auto/fleetlimits/limitsfleet.cpp
+++ b/tests/auto/fleetlimits/limitsfleet.cpp
@@ -331,7 +331,7 @@
   if (grant.Sequence >= node.InFlightRequest)
     node.InFlightRequest = 0;
   applyDecisions(node, decisions);
-  if (node.InFlightRequest == 0 && node.Self->hasPendingAcquires())
+  if (node.InFlightRequest == 0 && node.Self->hasUnrequestedAcquires())
     sendGrantRequest(node, i);
 }
 
--- a/tests/auto/residency/tst_residency.cpp
+++ b/tests/auto/residency/tst_residency.cpp
@@ -285,6 +285,32 @@
   CHECK(run().size() == 2);
 }
 
+// Issue 31, LIMIT: calls waited for engines at their limit while others had
+// slots.
+TEST_CASE_FIXTURE(
+    PlannerFixture,
+    "model whose engines are over their limits of calls is loaded "
+    "at an engine without one") {
+  Engine.Slots = 8;
+  addReplica("a", {"m0"}).CallLimit = 2;
+  addReplica("b", {"m1"}).CallLimit = 2;
+  addReplica("c", {"m2"});
+  recordCalls("m0", 60);
+  recordCalls("m1", 15);
+  recordCalls("m2", 1);
+  auto isLoadedAt = [this](const std::string &id) {
+    for (const Task &task : run())
+      if (task.ReplicaId == id && task.Orders.back().Model == "m0")
+        return true;
+    return false;
+  };
+  CHECK(isLoadedAt("c"));
+  CHECK_FALSE(isLoadedAt("b"));
+  // Without limits the free slots suffice.
+  Replicas["a"].CallLimit = Replicas["b"].CallLimit = 0;
+  CHECK_FALSE(isLoadedAt("c"));
+}
+
 namespace {
 
 /// A weight store at which `FullSpeedLoads` loads run at full speed and more of
