Refuse calls at once that no endpoint's limit admits in time

Calls over the limits of all their endpoints waited to their deadline also where the holder had said that a token would come later. They are refused with that time now; explain names the cause. Placement is planned while limits are in force, not only while calls wait.

--- a/src/libs/balance/healthtracker.cpp
+++ b/src/libs/balance/healthtracker.cpp
@@ -69,8 +69,11 @@
   health.CoolDownUntil = std::max(health.CoolDownUntil, until);
 }
 
-void HealthTracker::setOverLimit(const std::string &id, TimePoint until) {
-  HealthById[id].OverLimitUntil = until;
+void HealthTracker::setOverLimit(const std::string &id, TimePoint until,
+                                 TimePoint withinLimitAt) {
+  EndpointHealth &health = HealthById[id];
+  health.OverLimitUntil = until;
+  health.WithinLimitAt = withinLimitAt;
 }
 
 const EndpointHealth &HealthTracker::health(const std::string &id) const {
--- a/src/libs/balance/healthtracker.h
+++ b/src/libs/balance/healthtracker.h
@@ -35,8 +35,11 @@
   TimePoint AvoidUntil{};
   /// The endpoint asked this VM to send no calls before this time.
   TimePoint CoolDownUntil{};
-  /// No call of this VM is within the endpoint's limit before this time.
+  /// No call of this VM asks for a place in the endpoint's limit before this
+  /// time.
   TimePoint OverLimitUntil{};
+  /// When such a call is expected to get one, as many ask for it.
+  TimePoint WithinLimitAt{};
   /// Moving average of the time to first byte of answered calls, in
   /// milliseconds; 0 before the first.
   double FirstByteMs = 0;
@@ -50,8 +53,10 @@
   void onEnded(const std::string &id, AttemptResult result, TimePoint now);
   /// Starts or extends the endpoint's cool-down.
   void coolDown(const std::string &id, TimePoint until);
-  /// The endpoint's limit allows no call of this VM until then.
-  void setOverLimit(const std::string &id, TimePoint until);
+  /// The endpoint's limit has rejected a call: see
+  /// EndpointHealth::OverLimitUntil and WithinLimitAt.
+  void setOverLimit(const std::string &id, TimePoint until,
+                    TimePoint withinLimitAt);
   const EndpointHealth &health(const std::string &id) const;
   void remove(const std::string &id);
 
--- a/src/libs/explain/gatewaycauses.cpp
+++ b/src/libs/explain/gatewaycauses.cpp
@@ -167,6 +167,10 @@
 constexpr char NoEndpoint[] = "no endpoint of its service was ready";
 constexpr char PartQuarantined[] =
     "a part of its prompt has crashed several endpoints and is quarantined";
+constexpr char EndpointsLimited[] =
+    "the limits on calls that its endpoints name were used up";
+constexpr char EndpointsRest[] =
+    "all endpoints that could run it had asked for a pause";
 constexpr char Leaving[] =
     "it was waiting at a gateway that began to shut down, and was not sent";
 
@@ -185,6 +189,8 @@
     {"no_configuration", fixedCause<NoConfiguration>},
     {"no_endpoint", fixedCause<NoEndpoint>},
     {"part_quarantined", fixedCause<PartQuarantined>},
+    {"endpoints_limited", fixedCause<EndpointsLimited>},
+    {"endpoints_rest", fixedCause<EndpointsRest>},
     {"leaving", fixedCause<Leaving>},
     {"no_time", unsentCause},
     {"deadline_unsent", unsentCause},
--- a/src/libs/gateway/call.h
+++ b/src/libs/gateway/call.h
@@ -125,6 +125,9 @@
   /// Earliest time at which an endpoint that asked to back off accepts calls
   /// again.
   std::optional<Utils::TimePoint> BackoffEnd;
+  /// Earliest time at which an endpoint whose limit is used up is expected to
+  /// take the call.
+  std::optional<Utils::TimePoint> WithinLimitAt;
   Utils::TimePoint QueuedSince{};
   Utils::Milliseconds QueuedFor{0};
   std::optional<Utils::Milliseconds> RetryAfter;
--- a/src/libs/gateway/callsend.cpp
+++ b/src/libs/gateway/callsend.cpp
@@ -106,8 +106,12 @@
 std::optional<std::string> Call::pickEndpoint() {
   auto eligible = eligibleEndpoints();
   std::vector<Balance::Candidate> candidates;
+  WithinLimitAt.reset();
   for (const Fleet::Endpoint *it : eligible) {
     const auto &health = State.HealthTracker.health(it->Report.Id);
+    if (SentAt < health.OverLimitUntil)
+      WithinLimitAt = std::min(WithinLimitAt.value_or(health.WithinLimitAt),
+                               health.WithinLimitAt);
     candidates.push_back(
         {health.InFlight +
              State.Coordination.member().loadOfOtherGateways(it->Report.Id),
@@ -128,6 +132,10 @@
 void Call::dispatch() {
   if (tryDispatch())
     return;
+  if (WithinLimitAt && *WithinLimitAt + MinTimeToSend >= Deadline)
+    return endBetweenSends(
+        "endpoints_limited",
+        std::chrono::ceil<Utils::Milliseconds>(*WithinLimitAt - SentAt));
   if (BackoffEnd && *BackoffEnd + MinTimeToSend < Deadline)
     return wait();
   if (BackoffEnd)
@@ -193,7 +201,8 @@
 void Call::pauseOverLimit(const std::string &endpoint,
                           const Quota::Decision &decision) {
   State.HealthTracker.setOverLimit(
-      endpoint, SentAt + std::min(*decision.RetryAfter, MaxOverLimitPause));
+      endpoint, SentAt + std::min(*decision.RetryAfter, MaxOverLimitPause),
+      SentAt + *decision.RetryAfter);
 }
 
 void Call::startSending(const std::string &endpoint) {
--- a/src/libs/gateway/fleetholder.cpp
+++ b/src/libs/gateway/fleetholder.cpp
@@ -185,6 +185,8 @@
   recordCrashes(report, now);
   if (!report.Waiting.empty())
     schedulePlanAfter(UrgentPlanDelay);
+  else if (!report.EndpointLimits.empty()) // Calls may be refused, not waiting.
+    schedulePlan();
   sendHeartbeat(member);
 }
 
--- a/tests/auto/endpointlimits/tst_endpointlimits.cpp
+++ b/tests/auto/endpointlimits/tst_endpointlimits.cpp
@@ -67,6 +67,23 @@
     CHECK(callOnce() == 200);
 }
 
+TEST_CASE_FIXTURE(LimitFixture,
+                  "call that no endpoint can take within its limit in time is "
+                  "refused at once with the time at which one can") {
+  limited().AnswerFields = "Server-Limit: 0.1\r\n";
+  drainEndpoint("i-2");
+  CHECK(callOnce() == 200);
+  CHECK(callOnce() == 200);
+  RawCaller &caller = call("/safe/", "Deadline-Milliseconds: 5000\r\n");
+  CHECK(statusOf(caller) == 503);
+  // A call that is held to its deadline is told to retry after 0.5 s.
+  const std::string field = "Retry-After: ";
+  size_t at = caller.Received.find(field);
+  REQUIRE(at != std::string::npos);
+  CHECK(std::stod(caller.Received.substr(at + field.size())) > 5);
+  CHECK(limited().Requests.size() == 2);
+}
+
 // Issue 31, LIMIT: endpoints got far more calls than the limit that they named.
 TEST_CASE_FIXTURE(LimitFixture,
                   "endpoint that names a limit gets no more calls than that, "
