Tell changes of endpoints' limits with answers to reports only

Cause: each change of a limit was broadcast, and reports that came late brought older statements back, so that limits changed to and fro and the holder sent nothing but broadcasts. All gateways hear of a limit within a report interval (0.7 s at most, of contact_ms 3 to 4 s) anyway. Suspected parts are told likewise; a new quarantine is still broadcast.

--- a/src/libs/gateway/fleetholder.cpp
+++ b/src/libs/gateway/fleetholder.cpp
@@ -208,7 +208,8 @@
     return;
   Limits.setEndpointLimit(limit.Endpoint,
                           LimitsOfEndpoints.rateOf(limit.Endpoint, now), now);
-  broadcastSoon();
+  // The gateways learn of it with the answers to their next reports. Many
+  // endpoints change their limits at once.
   schedulePlan();
 }
 
@@ -230,10 +231,10 @@
 
 void FleetHolder::updateQuarantines(Utils::TimePoint now) {
   NextQuarantineUpdateAt = now + QuarantineUpdateInterval;
-  // The gateways' answers about a part come with their reports after the
-  // heartbeat that asks for them.
-  Utils::Milliseconds answerDelay =
-      fullBroadcastDelay() + 2 * reportInterval(liveMemberCount());
+  // A gateway learns with the answer to its next report which parts are of
+  // interest, and reports its answers of them with the one after it.
+  Utils::Milliseconds answerDelay = 2 * reportInterval(liveMemberCount());
+  size_t before = Crashes.quarantines().size();
   if (!Crashes.update(answerDelay, now))
     return;
   Utils::Event event("quarantine_decided");
@@ -242,7 +243,8 @@
   if (!Crashes.quarantines().empty())
     event.with("parts", Crashes.quarantines().back().Matching.size());
   event.warning();
-  broadcastSoon();
+  if (Crashes.quarantines().size() > before)
+    broadcastSoon();
 }
 
 FleetLink::Grant
--- a/tests/auto/endpointlimits/tst_endpointlimits.cpp
+++ b/tests/auto/endpointlimits/tst_endpointlimits.cpp
@@ -1,6 +1,7 @@
 #include "gatewayfixture.h"
 
 #include <algorithm>
+#include <asio/ip/udp.hpp>
 #include <doctest/doctest.h>
 
 using namespace std::chrono_literals;
@@ -84,6 +85,51 @@
   CHECK(limited().Requests.size() == 2);
 }
 
+// Each change of a limit was broadcast. On the large site 47 endpoints ended
+// theirs at once, and the holder answered no gateway in time for nine seconds.
+TEST_CASE_FIXTURE(
+    LimitFixture,
+    "changes of limits are told with the answers to reports only") {
+  runUntil([&] { return DutyRecord.has_value(); });
+  asio::ip::udp::socket socket(Loop, {asio::ip::address_v4::loopback(), 0});
+  FleetLink::Report report;
+  report.Member = "other";
+  report.Address =
+      "127.0.0.1:" + std::to_string(socket.local_endpoint().port());
+  report.Incarnation = 1;
+  std::string buf(FleetLink::MaxDatagramBytes, ' ');
+  size_t answers = 0;
+  double rate = 0;
+  std::function<void()> receive = [&] {
+    socket.async_receive(
+        asio::buffer(buf), [&](const std::error_code &ec, size_t n) {
+          if (ec)
+            return;
+          ++answers;
+          auto datagram = FleetLink::decode(buf.substr(0, n));
+          REQUIRE(datagram);
+          auto &limits =
+              std::get<FleetLink::Heartbeat>(datagram.value()).EndpointLimits;
+          rate = limits.empty() ? 0 : limits[0].Rate;
+          receive();
+        });
+  };
+  receive();
+  size_t sent = 0;
+  for (; sent < 20; ++sent) {
+    ++report.Sequence;
+    report.EndpointLimits = {{7, double(sent + 1), 0}};
+    size_t before = answers;
+    socket.send_to(
+        asio::buffer(FleetLink::encode(report)),
+        {asio::ip::address_v4::loopback(), Settings.FirstInternalPort});
+    runUntil([&] { return answers > before; });
+    wait(10ms);
+  }
+  CHECK(rate == 20);
+  CHECK(answers == sent);
+}
+
 // Issue 31, LIMIT: endpoints got far more calls than the limit that they named.
 TEST_CASE_FIXTURE(LimitFixture,
                   "endpoint that names a limit gets no more calls than that, "
