Send the limits of endpoints by revision, and only the grants that a report asks for

Each heartbeat carried all limits and a grant for each endpoint that its gateway had ever called: 47 limited endpoints were 1.7 kB in each of 500 heartbeats a second. Reports name the revision of the list that the gateway has, and heartbeats carry it only if it is another; limits that the holder confirms do not lapse.

--- a/src/libs/fleetlink/fleetlink.cpp
+++ b/src/libs/fleetlink/fleetlink.cpp
@@ -84,7 +84,7 @@
           it.Lineage, it.TableTakeoverRevision, it.TableTombstoneFloor,
           it.TableBaseRevision, it.TableRevision, it.TableComplete,
           it.TableBaseFromStore, it.EncodedEntries, it.Loads, it.Quarantined,
-          it.WatchedParts, it.EndpointLimits);
+          it.WatchedParts, it.LimitsRevision, it.EndpointLimits);
 }
 
 namespace {
--- a/src/libs/fleetlink/fleetlink.h
+++ b/src/libs/fleetlink/fleetlink.h
@@ -178,9 +178,11 @@
   std::vector<PartAnswer> AnsweredParts;
   /// Quarantines that the gateway knows, for a new holder.
   std::vector<QuarantinedParts> Quarantined;
-  /// Those that answers to this gateway have named since the previous report;
-  /// all that it knows for a holder that has not answered yet.
+  /// Those that the holder may not know as this gateway does.
   std::vector<EndpointLimit> EndpointLimits;
+  /// Heartbeat::LimitsRevision of the newest list that the gateway has
+  /// received.
+  uint64_t LimitsRevision = 0;
 };
 
 /// Request of a gateway to the holder for tokens of teams, between its reports.
@@ -305,7 +307,11 @@
   std::vector<QuarantinedParts> Quarantined;
   /// Parts about whose answers the holder asks.
   std::vector<uint64_t> WatchedParts;
-  /// The newest for each endpoint.
+  /// Number of the holder's list of endpoints' limits, which changes with the
+  /// list and with the holder.
+  uint64_t LimitsRevision = 0;
+  /// The list, if the gateway has not received it yet: the newest limit of each
+  /// endpoint.
   std::vector<EndpointLimit> EndpointLimits;
 };
 
--- a/src/libs/gateway/endpointlimits.cpp
+++ b/src/libs/gateway/endpointlimits.cpp
@@ -12,7 +12,7 @@
 /// An answer without a limit ends one only this long after it was last named:
 /// answers on several connections may overtake each other.
 constexpr std::chrono::milliseconds MinSilence{500};
-/// Most endpoints with a limit.
+/// Most endpoints with a limit; the longest unnamed ones are forgotten first.
 constexpr size_t MaxLimits = 1024;
 
 } // namespace
@@ -44,7 +44,10 @@
   auto it = Limits.find(limit.Endpoint);
   if (it == Limits.end()) {
     if (Limits.size() >= MaxLimits)
-      return false;
+      Limits.erase(std::min_element(
+          Limits.begin(), Limits.end(), [](const auto &a, const auto &b) {
+            return a.second.StatedAt < b.second.StatedAt;
+          }));
     Limits[limit.Endpoint] = limit;
     return limit.Rate > 0;
   }
@@ -58,7 +61,7 @@
 std::vector<EndpointLimit> EndpointLimits::statements(TimePoint now) const {
   std::vector<EndpointLimit> out;
   for (const auto &[endpoint, limit] : Limits)
-    if (now < limit.StatedAt + LimitLifetime)
+    if (isCurrent(limit, now))
       out.push_back(limit);
   return out;
 }
@@ -72,8 +75,12 @@
 
 double EndpointLimits::rateOf(uint32_t endpoint, TimePoint now) const {
   auto it = Limits.find(endpoint);
-  bool holds = it != Limits.end() && now < it->second.StatedAt + LimitLifetime;
-  return holds ? it->second.Rate : 0;
+  return it != Limits.end() && isCurrent(it->second, now) ? it->second.Rate : 0;
+}
+
+bool EndpointLimits::isCurrent(const EndpointLimit &limit,
+                               TimePoint now) const {
+  return now < std::max(limit.StatedAt, ConfirmedAt) + LimitLifetime;
 }
 
 } // namespace Gateway
--- a/src/libs/gateway/endpointlimits.h
+++ b/src/libs/gateway/endpointlimits.h
@@ -38,6 +38,8 @@
   /// Takes over a newer statement. Returns whether the limit is new, different
   /// or ended.
   bool merge(const EndpointLimit &limit);
+  /// The holder still lists the limits that are known here: they do not lapse.
+  void confirm(TimePoint now) { ConfirmedAt = now; }
   /// Statements that are not out of date, for other gateways.
   std::vector<EndpointLimit> statements(TimePoint now) const;
   /// All statements, whether or not out of date.
@@ -46,7 +48,10 @@
   double rateOf(uint32_t endpoint, TimePoint now) const;
 
 private:
+  bool isCurrent(const EndpointLimit &limit, TimePoint now) const;
+
   std::map<uint32_t, EndpointLimit> Limits;
+  TimePoint ConfirmedAt{};
 };
 
 } // namespace Gateway
--- a/src/libs/gateway/fleetholder.cpp
+++ b/src/libs/gateway/fleetholder.cpp
@@ -87,6 +87,9 @@
   return out;
 }
 
+/// Start of the revisions of a holder, apart from those of its predecessors.
+uint64_t firstLimitsRevision(int64_t token) { return uint64_t(token) << 32; }
+
 uint32_t msUntil(Utils::TimePoint at, Utils::TimePoint now) {
   if (at <= now)
     return 0;
@@ -116,6 +119,7 @@
               token == 1 && Ctx.Settings.FirstStart, Ctx.PreviousMembers,
               Ctx.Settings.LimitSlack * OverdraftShareOfSlack},
              StartedAt),
+      LimitsRevision(firstLimitsRevision(token)),
       TableChanges(token, inherited.Table), PlanTimer(Ctx.Loop),
       NotifyTimer(Ctx.Loop), BroadcastTimer(Ctx.Loop) {
   RunnerContext = makeRunnerContext();
@@ -206,6 +210,7 @@
                                      Utils::TimePoint now) {
   if (!LimitsOfEndpoints.merge(limit))
     return;
+  ++LimitsRevision;
   Limits.setEndpointLimit(limit.Endpoint,
                           LimitsOfEndpoints.rateOf(limit.Endpoint, now), now);
   // The gateways learn of it with the answers to their next reports. Many
@@ -254,7 +259,7 @@
   Limits.applyUsage(request.Member, request.Incarnation, request.Sequence,
                     request.Teams, now);
   return {Token, request.Incarnation, request.Sequence,
-          Limits.totals(request.Member, &request.Teams, now)};
+          Limits.grants(request.Member, request.Teams, now)};
 }
 
 std::string FleetHolder::notes() {
@@ -452,7 +457,7 @@
   out.Incarnation = report.Incarnation;
   out.Sequence = report.Sequence;
   out.MaxStrength = highestStrength();
-  out.Teams = Limits.totals(report.Member, nullptr, now);
+  out.Teams = Limits.allGrants(report.Member, report.Teams, now);
   StoreReadProgress read = Ctx.ReadProgress();
   out.OperatorsNext = read.OperatorsNext;
   out.OperatorsAgeMs = ageInMs(read.OperatorsAsOf, now);
@@ -465,8 +470,10 @@
   out.Loads = totalLoads();
   out.Quarantined = toLink(Crashes.quarantines(), now);
   out.WatchedParts = Crashes.partsToWatch();
-  for (const EndpointLimit &it : LimitsOfEndpoints.statements(now))
-    out.EndpointLimits.push_back(toLink(it, now));
+  out.LimitsRevision = LimitsRevision;
+  if (report.LimitsRevision != LimitsRevision)
+    for (const EndpointLimit &it : LimitsOfEndpoints.statements(now))
+      out.EndpointLimits.push_back(toLink(it, now));
   return out;
 }
 
--- a/src/libs/gateway/fleetholder.h
+++ b/src/libs/gateway/fleetholder.h
@@ -157,6 +157,8 @@
   Utils::TimePoint NextReportAt{};
   FleetLimiter Limits;
   EndpointLimits LimitsOfEndpoints;
+  /// See FleetLink::Heartbeat::LimitsRevision.
+  uint64_t LimitsRevision;
   Quarantine::CrashLedger Crashes;
   /// Decisions on quarantines without new crashes are rate-limited.
   Utils::TimePoint NextQuarantineUpdateAt{};
--- a/src/libs/gateway/fleetlimiter.cpp
+++ b/src/libs/gateway/fleetlimiter.cpp
@@ -154,33 +154,41 @@
       team->second.Bucket.capLevel(it.Level, now);
 }
 
+FleetLink::TeamGrant FleetLimiter::grant(const std::string &member,
+                                         uint32_t key, Team &team,
+                                         TimePoint now) {
+  int64_t granted = 0;
+  if (auto it = Members.find(member); it != Members.end())
+    if (auto known = it->second.Granted.find(key);
+        known != it->second.Granted.end())
+      granted = known->second;
+  return {key, toLevel(team.Bucket.level(now)),
+          uint32_t(toLevel(team.Bucket.demandRate(now))), granted};
+}
+
 std::vector<FleetLink::TeamGrant>
-FleetLimiter::totals(const std::string &member,
-                     const std::vector<FleetLink::TeamUsage> *teams,
+FleetLimiter::grants(const std::string &member,
+                     const std::vector<FleetLink::TeamUsage> &uses,
                      TimePoint now) {
   std::vector<FleetLink::TeamGrant> out;
-  auto known = Members.find(member);
-  auto grantedOf = [&](uint32_t key) -> int64_t {
-    if (known == Members.end())
-      return 0;
-    auto it = known->second.Granted.find(key);
-    return it == known->second.Granted.end() ? 0 : it->second;
-  };
-  auto add = [&](uint32_t key, Team &team) {
-    out.push_back({key, toLevel(team.Bucket.level(now)),
-                   uint32_t(toLevel(team.Bucket.demandRate(now))),
-                   grantedOf(key)});
-  };
-  if (!teams) {
-    for (auto &[key, team] : Teams)
-      if (!team.IsEndpoint ||
-          (known != Members.end() && known->second.Granted.count(key) > 0))
-        add(key, team);
-    return out;
-  }
-  for (const FleetLink::TeamUsage &use : *teams)
+  for (const FleetLink::TeamUsage &use : uses)
     if (auto team = Teams.find(use.Team); team != Teams.end())
-      add(use.Team, team->second);
+      out.push_back(grant(member, use.Team, team->second, now));
+  return out;
+}
+
+std::vector<FleetLink::TeamGrant>
+FleetLimiter::allGrants(const std::string &member,
+                        const std::vector<FleetLink::TeamUsage> &uses,
+                        TimePoint now) {
+  std::vector<FleetLink::TeamGrant> out;
+  for (auto &[key, team] : Teams)
+    if (!team.IsEndpoint)
+      out.push_back(grant(member, key, team, now));
+  for (const FleetLink::TeamUsage &use : uses)
+    if (auto team = Teams.find(use.Team);
+        team != Teams.end() && team->second.IsEndpoint)
+      out.push_back(grant(member, use.Team, team->second, now));
   return out;
 }
 
--- a/src/libs/gateway/fleetlimiter.h
+++ b/src/libs/gateway/fleetlimiter.h
@@ -55,11 +55,15 @@
                  TimePoint now);
   /// Bucket levels to store in the duty record; full buckets are left out.
   std::vector<FleetLink::TeamLevel> levelsToRecord(TimePoint now);
-  /// Bucket level, demand and grant of the member for each of `teams`; if it is
-  /// null, for all teams and for the endpoints that the member has used.
+  /// Bucket level, demand and grant of the member for each limit whose usage it
+  /// has sent.
   std::vector<FleetLink::TeamGrant>
-  totals(const std::string &member,
-         const std::vector<FleetLink::TeamUsage> *teams, TimePoint now);
+  grants(const std::string &member,
+         const std::vector<FleetLink::TeamUsage> &uses, TimePoint now);
+  /// The same for all teams, and for the endpoints whose usage it has sent.
+  std::vector<FleetLink::TeamGrant>
+  allGrants(const std::string &member,
+            const std::vector<FleetLink::TeamUsage> &uses, TimePoint now);
 
 private:
   struct Member {
@@ -77,6 +81,8 @@
     bool IsEndpoint = false;
   };
   double initialLevel(const Fleet::Team &team) const;
+  FleetLink::TeamGrant grant(const std::string &member, uint32_t key,
+                             Team &team, TimePoint now);
   void updateGrantedShare(TimePoint now);
 
   InitialState Initial;
--- a/src/libs/gateway/fleetmember.cpp
+++ b/src/libs/gateway/fleetmember.cpp
@@ -224,7 +224,18 @@
   it->second.setLimit(limit, now);
 }
 
+void FleetMember::applyEndpointLimits(const FleetLink::Heartbeat &heartbeat,
+                                      TimePoint now) {
+  if (heartbeat.LimitsRevision == LimitsRevision)
+    return LimitsOfEndpoints.confirm(now);
+  LimitsRevision = heartbeat.LimitsRevision;
+  for (const FleetLink::EndpointLimit &it : heartbeat.EndpointLimits)
+    if (LimitsOfEndpoints.merge(fromLink(it, now)))
+      applyEndpointLimit(it.Endpoint, now);
+}
+
 void FleetMember::addEndpointLimits(FleetLink::Report &report, TimePoint now) {
+  report.LimitsRevision = LimitsRevision;
   for (const EndpointLimit &it : LimitsOfEndpoints.statements(now)) {
     auto unacked = UnackedLimits.find(it.Endpoint);
     if (unacked == UnackedLimits.end())
@@ -335,9 +346,7 @@
     std::erase_if(UnackedLimits, [&](const auto &it) {
       return it.second > 0 && it.second <= heartbeat.Sequence;
     });
-  for (const FleetLink::EndpointLimit &it : heartbeat.EndpointLimits)
-    if (LimitsOfEndpoints.merge(fromLink(it, now)))
-      applyEndpointLimit(it.Endpoint, now);
+  applyEndpointLimits(heartbeat, now);
   if (Evidence.apply(heartbeat, now))
     Utils::Event("quarantine_changed")
         .with("entries", quarantineCount())
--- a/src/libs/gateway/fleetmember.h
+++ b/src/libs/gateway/fleetmember.h
@@ -144,6 +144,8 @@
                        int64_t holderToken, uint64_t sequence, TimePoint now);
   uint32_t assumedMembers() const;
   void applyEndpointLimit(uint32_t endpoint, TimePoint now);
+  void applyEndpointLimits(const FleetLink::Heartbeat &heartbeat,
+                           TimePoint now);
   void addEndpointLimits(FleetLink::Report &report, TimePoint now);
   bool isHolderResponsive(TimePoint now) const;
 
@@ -175,6 +177,7 @@
   /// Endpoints whose limits the present holder may not know as this gateway
   /// does, with the first report that lists them; 0 if none has yet.
   std::map<uint32_t, uint64_t> UnackedLimits;
+  uint64_t LimitsRevision = 0;
   std::map<uint32_t, uint32_t> OwnLoads;
   /// Counters by team in the newest reports and grant requests, by sequence.
   std::map<uint64_t, std::map<uint32_t, Quota::TokenCounters>> SentCounters;
--- a/tests/auto/endpointlimits/limitfleet.cpp
+++ b/tests/auto/endpointlimits/limitfleet.cpp
@@ -29,6 +29,7 @@
   /// A new holder starts from what the last one told gateway 0.
   void electHolder(const std::map<std::string, double> &levels) {
     ++Token;
+    Revision = uint64_t(Token) << 32;
     Holder.emplace(
         Gateway::FleetLimiter::InitialState{levels, std::nullopt, false,
                                             uint32_t(Members.size()), 20'000.0},
@@ -84,9 +85,11 @@
       return;
     Holder->recordHeartbeat(report.Member, false, Now);
     for (const FleetLink::EndpointLimit &it : report.EndpointLimits)
-      if (Statements.merge(Gateway::fromLink(it, Now)))
+      if (Statements.merge(Gateway::fromLink(it, Now))) {
+        ++Revision;
         Holder->setEndpointLimit(it.Endpoint,
                                  Statements.rateOf(it.Endpoint, Now), Now);
+      }
     Holder->applyUsage(report.Member, report.Incarnation, report.Sequence,
                        report.Teams, Now);
     FleetLink::Heartbeat heartbeat;
@@ -94,9 +97,11 @@
     heartbeat.Incarnation = report.Incarnation;
     heartbeat.Sequence = report.Sequence;
     heartbeat.Members = uint32_t(Members.size());
-    heartbeat.Teams = Holder->totals(report.Member, nullptr, Now);
-    for (const Gateway::EndpointLimit &it : Statements.statements(Now))
-      heartbeat.EndpointLimits.push_back(Gateway::toLink(it, Now));
+    heartbeat.Teams = Holder->allGrants(report.Member, report.Teams, Now);
+    heartbeat.LimitsRevision = Revision;
+    if (report.LimitsRevision != Revision)
+      for (const Gateway::EndpointLimit &it : Statements.statements(Now))
+        heartbeat.EndpointLimits.push_back(Gateway::toLink(it, Now));
     if (isLost())
       return;
     Members[i].apply(heartbeat, {}, Now);
@@ -119,7 +124,7 @@
     Holder->applyUsage(request.Member, request.Incarnation, request.Sequence,
                        request.Teams, Now);
     FleetLink::Grant grant{Token, request.Incarnation, request.Sequence,
-                           Holder->totals(request.Member, &request.Teams, Now)};
+                           Holder->grants(request.Member, request.Teams, Now)};
     if (!isLost())
       decide(i, Members[i].apply(grant, Now));
   }
@@ -136,6 +141,7 @@
   std::optional<Gateway::FleetLimiter> Holder;
   EndpointLimits Statements;
   int64_t Token = 0;
+  uint64_t Revision = 0;
   double Due = 0;
   uint64_t LastCall = 0;
 };
@@ -205,6 +211,25 @@
   CHECK(limits.rateOf(Endpoint, now + 2s) == 0);
 }
 
+TEST_CASE("limit that the holder confirms does not lapse") {
+  EndpointLimits limits;
+  TimePoint now = TimePoint{} + 1h;
+  limits.noteLimit(Endpoint, 5, now);
+  limits.confirm(now + 50s);
+  CHECK(limits.rateOf(Endpoint, now + 100s) == 5);
+  CHECK(limits.rateOf(Endpoint, now + 111s) == 0);
+}
+
+// Endpoints come and go for months.
+TEST_CASE("limits of new endpoints replace those named longest ago") {
+  EndpointLimits limits;
+  TimePoint now = TimePoint{} + 1h;
+  for (uint32_t i = 1; i <= 5000; ++i)
+    CHECK(limits.noteLimit(i, 5, now + Utils::Milliseconds(i)));
+  CHECK(limits.rateOf(5000, now + 6s) == 5);
+  CHECK(limits.rateOf(1, now + 6s) == 0);
+}
+
 TEST_CASE("limit of an endpoint that gives no more answers lapses") {
   EndpointLimits limits;
   TimePoint now = TimePoint{} + 1h;
--- a/tests/auto/fleetlimits/limitsfleet.cpp
+++ b/tests/auto/fleetlimits/limitsfleet.cpp
@@ -295,7 +295,8 @@
     heartbeat.Incarnation = report.Incarnation;
     heartbeat.Sequence = report.Sequence;
     heartbeat.Members = uint32_t(Nodes.size());
-    heartbeat.Teams = HolderLimiter->totals(report.Member, nullptr, Now);
+    heartbeat.Teams =
+        HolderLimiter->allGrants(report.Member, report.Teams, Now);
     if (!reachesHolder(i) || Nodes[i].Incarnation != incarnation)
       return;
     send(i, [this, i, heartbeat] {
@@ -319,7 +320,7 @@
                               request.Sequence, request.Teams, Now);
     FleetLink::Grant grant{
         Token, request.Incarnation, request.Sequence,
-        HolderLimiter->totals(request.Member, &request.Teams, Now)};
+        HolderLimiter->grants(request.Member, request.Teams, Now)};
     if (reachesHolder(i) && Nodes[i].Incarnation == request.Incarnation)
       send(i, [this, i, grant] { handleGrant(i, grant); });
   });
--- a/tests/auto/fleetlimits/tst_fleetlimits.cpp
+++ b/tests/auto/fleetlimits/tst_fleetlimits.cpp
@@ -279,7 +279,7 @@
     Gateway::FleetLimiter limiter(std::move(start), now);
     limiter.setLimits(config, now);
     std::map<uint32_t, int32_t> out;
-    for (const FleetLink::TeamGrant &it : limiter.totals("a", nullptr, now))
+    for (const FleetLink::TeamGrant &it : limiter.allGrants("a", {}, now))
       out[it.Team] = it.Level;
     return out;
   };
