--- a/src/libs/gateway/callsend.cpp
+++ b/src/libs/gateway/callsend.cpp
@@ -19,14 +19,6 @@
 /// call was executed.
 constexpr std::chrono::milliseconds MaxIdleForUnsafe{1000};
 
-/// An answer that breaks off within this time of its head counts as not begun:
-/// the endpoint's crash may follow its first bytes.
-constexpr std::chrono::milliseconds MinAnswerTime{100};
-
-/// Longest time for which an endpoint is not chosen after its limit has
-/// rejected a call. Others may leave tokens unused meanwhile.
-constexpr std::chrono::milliseconds MaxOverLimitPause{500};
-
 bool isSuccess(unsigned status) { return status >= 200 && status < 300; }
 
 /// Returns the id of the last event in `events`, or an empty string if it has
@@ -163,48 +155,6 @@
   return false;
 }
 
-bool Call::sendWithinLimit(const std::string &endpoint) {
-  if (!State.Coordination.member().hasLimit(endpoint, SentAt)) {
-    startSending(endpoint);
-    return true;
-  }
-  constexpr double oneCall = 1;
-  ReservedEndpoint = endpoint;
-  auto decision = requestTokensOf(
-      FleetLink::endpointLimitName(FleetLink::hashName(endpoint)), oneCall);
-  if (!decision)
-    return true;
-  ReservedEndpoint.clear();
-  if (decision->isAdmitted())
-    startSending(endpoint);
-  else
-    pauseOverLimit(endpoint, *decision);
-  return decision->isAdmitted();
-}
-
-void Call::onEndpointLimitDecided(const Quota::Decision &decision) {
-  std::string id = std::exchange(ReservedEndpoint, {});
-  SentAt = Utils::BootClock::now();
-  if (!decision.isAdmitted()) {
-    pauseOverLimit(id, decision);
-    return dispatch();
-  }
-  const Fleet::Endpoint *endpoint = State.FleetView.endpoints().find(id);
-  if (endpoint && isEligible(*endpoint) && Deadline - SentAt >= MinTimeToSend)
-    return startSending(id);
-  State.Coordination.member().refundTokens(
-      FleetLink::endpointLimitName(FleetLink::hashName(id)), 1);
-  dispatch();
-}
-
-/// Chooses the endpoint no more until its limit may allow another call.
-void Call::pauseOverLimit(const std::string &endpoint,
-                          const Quota::Decision &decision) {
-  State.HealthTracker.setOverLimit(
-      endpoint, SentAt + std::min(*decision.RetryAfter, MaxOverLimitPause),
-      SentAt + *decision.RetryAfter);
-}
-
 void Call::startSending(const std::string &endpoint) {
   if (QueuedSince != Utils::TimePoint{})
     QueuedFor += std::chrono::duration_cast<Utils::Milliseconds>(
@@ -388,32 +338,6 @@
   completeAnswer();
 }
 
-bool Call::isAnswering() const {
-  return AnsweredAt && Utils::BootClock::now() >= *AnsweredAt + MinAnswerTime;
-}
-
-void Call::recordAnswer() {
-  State.Coordination.member().recordAnswer(SharedParts, *AnsweredAt);
-}
-
-bool Call::refuseQuarantined() {
-  Utils::TimePoint now = Utils::BootClock::now();
-  auto until = State.Coordination.member().quarantinedUntil(SharedParts, now);
-  if (!until)
-    return false;
-  endBetweenSends("part_quarantined",
-                  std::chrono::ceil<Utils::Milliseconds>(*until - now));
-  return true;
-}
-
-void Call::onBrokenOff() {
-  const Fleet::Endpoint *endpoint =
-      State.FleetView.endpoints().find(EndpointId);
-  if (!isAnswering() && endpoint)
-    State.Crashes.onBrokenOff(EndpointId, endpoint->Report.Address,
-                              {SharedParts, SentAt});
-}
-
 bool Call::isStreamCutOff() const {
   if (!streams() || !isSuccess(Head.Status))
     return false;
