Count answers that are not streamed as evidence for their prompt parts

On a route whose calls carry prompt parts and are answered at once, a part that all share looked like the cause of every crash: in the new case of tst_crashingparts sound calls were refused with 503 after five crashes under five different parts; they are served now.

--- a/src/libs/gateway/callsend.cpp
+++ b/src/libs/gateway/callsend.cpp
@@ -353,6 +353,8 @@
       Caller->abort();
       return finish("resume_failed", Head.Status);
     }
+    if (isSuccess(Head.Status))
+      recordAnswer();
     Caller->respond(forwardedHead(Head), Body);
     return finish("answered", Head.Status);
   }
--- a/tests/auto/crashingparts/tst_crashingparts.cpp
+++ b/tests/auto/crashingparts/tst_crashingparts.cpp
@@ -18,6 +18,7 @@
 struct CrashingPartsFixture : GatewayFixture {
   CrashingPartsFixture() {
     addRoute("/stream/", "s", Fleet::RouteKind::Streaming);
+    addRoute("/safe/", "s", Fleet::RouteKind::Safe).Attempts = 1;
     for (int i = 0; i < 3; ++i)
       addEndpoint("s").CrashingText = "bad:";
     start();
@@ -34,12 +35,13 @@
     return n;
   }
   /// Makes a call when all endpoints are up, and returns its status.
-  unsigned callWith(const std::string &parts) {
+  unsigned callWith(const std::string &parts,
+                    const std::string &route = "/stream/") {
     runUntil([&] { return !isAnyDown(); });
     Scripts = {{answer(200, "id: 1\n\n")}};
     std::string own = "own" + std::to_string(++Calls) + ":9";
     return statusOf(
-        call("/stream/", "Prompt-Prefix: " + parts + "," + own + "\r\n"));
+        call(route, "Prompt-Prefix: " + parts + "," + own + "\r\n"));
   }
   unsigned callCrashing() {
     return callWith("first:100,middle:20,bad:" + std::to_string(++Calls));
@@ -72,3 +74,16 @@
   }
   CHECK(size_t(crashes() - before) <= MaxArrivalsAfterBound);
 }
+
+// Answers that are not streamed were not counted, so that a part shared by
+// sound calls looked like the cause of crashes.
+TEST_CASE_FIXTURE(CrashingPartsFixture,
+                  "part of sound calls that are answered at once is not "
+                  "quarantined when different parts crash endpoints") {
+  for (int i = 1; i <= 5; ++i) {
+    callWith("first:100,x" + std::to_string(i) + "bad:20", "/safe/");
+    CHECK(callWith("first:100,middle:20", "/safe/") == 200);
+  }
+  wait(1000ms);
+  CHECK(callWith("first:100,middle:20", "/safe/") == 200);
+}
