--- a/review/standins/fleet.cpp
+++ b/review/standins/fleet.cpp
@@ -7,6 +7,7 @@
 #include <fstream>
 #include <iostream>
 #include <sstream>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
@@ -178,6 +179,7 @@
   Log.write("start", {{"gateway", Name}});
   Pid = fork();
   if (Pid == 0) {
+    prctl(PR_SET_PDEATHSIG, SIGKILL); // Ends with the script in any case.
     dup2(out, STDOUT_FILENO);
     dup2(out, STDERR_FILENO);
     execve(arguments[0], arguments.data(), environment.data());
