--- a/review/standins/fleet.h
+++ b/review/standins/fleet.h
@@ -65,6 +65,8 @@
   /// deadline. Records what was sent and answered.
   int request(const std::string &address, const std::string &method,
               const std::string &path, Milliseconds deadline);
+  /// Closes the connection, so that the next request opens another one.
+  void reconnect() { Connection.close(); }
   /// Retry-After of the last answer, in seconds; 0 if it had none.
   double retryAfter() const { return RetryAfter; }
 
