--- a/review/standins/replica.cpp
+++ b/review/standins/replica.cpp
@@ -121,7 +121,16 @@
   return std::uniform_real_distribution<>(0, 1)(Random) < Options.ExtraShare;
 }
 
+/// Says in every answer that the replica leaves, from when it does.
 std::string Replica::answer(const Message &request) {
+  std::string bytes = answerBeforeLeaving(request);
+  std::lock_guard lock(Mutex);
+  if (Left && !bytes.empty())
+    bytes.insert(bytes.find("\r\n") + 2, "Server-Leaving: 1\r\n");
+  return bytes;
+}
+
+std::string Replica::answerBeforeLeaving(const Message &request) {
   if (request.Second == "/health")
     return withBody(head(200, "OK") + "Instance-Id: " + Options.Id + "\r\n",
                     "");
@@ -149,6 +158,8 @@
   ++Waiting;
   Changed.wait(lock, [this] { return Running < Options.Slots || Stopped; });
   --Waiting;
+  if (Stopped) // It never began; the connection breaks off.
+    return {};
   ++Running;
   Log.write("run", {{"id", id}, {"server", Options.Id}});
   std::uniform_int_distribution<int64_t> work(Options.MinWork.count(),
--- a/review/standins/replica.h
+++ b/review/standins/replica.h
@@ -53,6 +53,7 @@
 private:
   void serve(Stream &stream);
   std::string answer(const Message &request);
+  std::string answerBeforeLeaving(const Message &request);
   std::string runRequest(const Message &request);
   void writeEntries();
   std::optional<std::string> entry();
