Log whether a refused call was named, sent before, or sent on a used connection

Which of two causes makes a refusal untrue could not be told from the log: a late refusal of an earlier send of the same call, or one that names no call. send_failed says named, reused and sent_before now, and answers that are passed over because they name another call are logged and counted (reply_skipped). No decision is changed.

--- a/src/libs/gateway/call.h
+++ b/src/libs/gateway/call.h
@@ -58,6 +58,7 @@
   HttpIo::ResponseCallbacks responseEvents();
   HttpIo::HeadVerdict onHead(const Http::ResponseHead &head,
                              Http::Framing framing);
+  void logSkippedReply(const std::string &callId, unsigned status) const;
   void onBody(std::string_view data);
   void forwardEvents();
   void abortOversizedAnswer();
@@ -114,6 +115,12 @@
   /// The answer has neither a length nor chunks.
   bool EndsWithConnection = false;
   bool NotExecuted = false;
+  /// The connection has carried exchanges before this one.
+  bool ConnectionReused = false;
+  /// The endpoint had got the call before this send.
+  bool SentBefore = false;
+  /// The answer names the call.
+  bool AnswerNamesCall = false;
   std::string Body;
 
   /// Id of the last stream event that was forwarded to the caller in full.
--- a/src/libs/gateway/callsend.cpp
+++ b/src/libs/gateway/callsend.cpp
@@ -192,7 +192,7 @@
   std::error_code ec;
   auto address = HttpIo::parseEndpoint(endpoint.Report.Address, ec);
   EndpointId = endpoint.Report.Id;
-  TriedEndpoints.insert(EndpointId);
+  SentBefore = !TriedEndpoints.insert(EndpointId).second;
   if (ec) {
     Utils::Event("endpoint_address_unreadable")
         .with("endpoint", EndpointId)
@@ -213,7 +213,8 @@
       PoolKey, unsafe ? SentAt - MaxIdleForUnsafe : Utils::TimePoint::min());
   ++Sends;
   ++RunsStarted;
-  NotExecuted = HeadIsAnswer = false;
+  NotExecuted = HeadIsAnswer = AnswerNamesCall = false;
+  ConnectionReused = Connection->exchanges() > 0;
   AnsweredAt.reset();
   Head = {};
   Body.clear();
@@ -239,8 +240,11 @@
 HttpIo::HeadVerdict Call::onHead(const Http::ResponseHead &head,
                                  Http::Framing framing) {
   ReplyMetadata reply = State.Clients.Calls.Reply(head);
-  if (!reply.CallId.empty() && reply.CallId != Metadata.Id)
+  if (!reply.CallId.empty() && reply.CallId != Metadata.Id) {
+    logSkippedReply(reply.CallId, head.Status);
     return HttpIo::HeadVerdict::Skip;
+  }
+  AnswerNamesCall = !reply.CallId.empty();
   State.applyNotice(EndpointId, reply.Notice);
   NotExecuted = reply.NotExecuted;
   // A response without a call id may be a late duplicate of another call's
@@ -262,6 +266,16 @@
   return HttpIo::HeadVerdict::Accept;
 }
 
+void Call::logSkippedReply(const std::string &callId, unsigned status) const {
+  State.MetricsRegistry.add("hickory_gateway_replies_skipped_total", "");
+  Utils::Event("reply_skipped")
+      .with("id", Metadata.Id)
+      .with("endpoint", EndpointId)
+      .with("of", callId)
+      .with("status", status)
+      .warning();
+}
+
 void Call::onBody(std::string_view data) {
   Body += data;
   if (HeadIsAnswer && streams() && isSuccess(Head.Status) && !Done)
@@ -402,6 +416,9 @@
       .with("end", Balance::attemptResultName(end))
       .with("status", Head.Status)
       .with("not_run", NotExecuted)
+      .with("named", AnswerNamesCall)
+      .with("reused", ConnectionReused)
+      .with("sent_before", SentBefore)
       .with("in_time", inTime)
       .with("in_budget", inBudget)
       .with("next", Balance::recoveryActionName(next))
--- a/src/libs/httpio/clientconnection.cpp
+++ b/src/libs/httpio/clientconnection.cpp
@@ -31,6 +31,7 @@
                                 ResponseCallbacks callbacks) {
   Callbacks = std::make_shared<ResponseCallbacks>(std::move(callbacks));
   Output = std::move(request);
+  ++Exchanges;
   Parser.reset();
   HeadHandled = Skipping = Reusable = false;
   if (Connected)
--- a/src/libs/httpio/clientconnection.h
+++ b/src/libs/httpio/clientconnection.h
@@ -56,6 +56,8 @@
   /// peer's Keep-Alive field, or a default, less a safety margin.
   Utils::TimePoint idleUntil() const { return IdleUntil; }
   Utils::TimePoint lastUsed() const { return LastUsed; }
+  /// Number of exchanges that were begun, including the one in progress.
+  uint32_t exchanges() const { return Exchanges; }
   /// Called once when the connection is closed.
   std::function<void()> OnClosed;
 
@@ -80,6 +82,7 @@
   std::shared_ptr<ResponseCallbacks> Callbacks;
   Utils::TimePoint IdleUntil;
   Utils::TimePoint LastUsed;
+  uint32_t Exchanges = 0;
   bool Connected = false;
   bool Writing = false;
   bool HeadHandled = false;
