--- a/tests/auto/gateway/gatewayfixture.cpp
+++ b/tests/auto/gateway/gatewayfixture.cpp
@@ -27,6 +27,7 @@
   std::array<char, 4096> Buffer;
   std::string Input;
   std::string Output;
+  size_t Requests = 0;
 };
 
 ScriptedEndpoint::ScriptedEndpoint(asio::io_context &loop,
@@ -97,21 +98,22 @@
     if (!CrashingText.empty() &&
         it.Value.find(CrashingText) != std::string::npos)
       return crash();
-  if (Scripts.empty())
-    return; // No response.
-  Script script = Scripts.front();
-  Scripts.pop_front();
+  bool connectionUsed = peer->Requests++ > 0;
+  std::string copies = connectionUsed ? std::exchange(Copies, {}) : "";
+  Script script = nextScript(request).value_or(Script{}); // No response.
   const std::string *id = request.Headers.find("Request-Id");
   auto substituteId = [&](std::string &text) {
     for (size_t at; (at = text.find("@ID@")) != std::string::npos;)
       text.replace(at, 4, id ? *id : "");
   };
   substituteId(script.Text);
+  substituteId(script.LateCopy);
   if (size_t end = script.Text.find("\r\n"); end != std::string::npos)
     script.Text.insert(end + 2, AnswerFields);
   for (std::string &it : script.Parts)
     substituteId(it);
-  peer->Output = script.Text;
+  Copies += script.LateCopy;
+  peer->Output = copies + script.Text;
   asio::async_write(peer->Socket, asio::buffer(peer->Output),
                     [this, peer, script](const std::error_code &, size_t) {
                       if (script.AfterSend == Script::Action::Keep)
@@ -125,6 +127,17 @@
                     });
 }
 
+std::optional<Script>
+ScriptedEndpoint::nextScript(const Http::Request &request) {
+  if (Respond)
+    return Respond(request);
+  if (Scripts.empty())
+    return std::nullopt;
+  Script script = std::move(Scripts.front());
+  Scripts.pop_front();
+  return script;
+}
+
 void ScriptedEndpoint::repeat(const std::shared_ptr<Peer> &peer,
                               const Script &script) {
   auto timer = std::make_shared<HttpIo::Timer>(peer->Socket.get_executor(),
--- a/tests/auto/gateway/gatewayfixture.h
+++ b/tests/auto/gateway/gatewayfixture.h
@@ -5,9 +5,11 @@
 
 #include <asio/io_context.hpp>
 #include <deque>
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 
 /// Response of a scripted endpoint to one request.
 struct Script {
@@ -22,6 +24,9 @@
   /// If not empty, sent one after the other in place of RepeatedText, and then
   /// nothing more.
   std::deque<std::string> Parts{};
+  /// Late copy of an answer: sent before the next answer on any connection of
+  /// the endpoint that has carried a request before.
+  std::string LateCopy{};
 };
 
 /// An endpoint on a loopback port. It answers each request with the next entry
@@ -42,6 +47,8 @@
   int Crashes = 0;
   /// Header fields that each scripted answer gets in addition.
   std::string AnswerFields;
+  /// If set, decides the response to each request in place of the scripts.
+  std::function<Script(const Http::Request &)> Respond;
   std::vector<Utils::TimePoint> ArrivalTimes;
   bool isDown() const { return !Acceptor.is_open(); }
   /// Number of connections that the gateway has closed.
@@ -58,7 +65,10 @@
   void read(const std::shared_ptr<Peer> &peer);
   void play(const std::shared_ptr<Peer> &peer, const Http::Request &request);
   void repeat(const std::shared_ptr<Peer> &peer, const Script &script);
+  std::optional<Script> nextScript(const Http::Request &request);
 
+  /// Late copies that are still to be sent.
+  std::string Copies;
   std::deque<Script> &Scripts;
   HttpIo::Tcp::acceptor Acceptor;
   HttpIo::Tcp::endpoint Address;
