Send a call again to the same endpoint on a new connection only

Callers saw 503 for calls that ran, and calls that must run once ran twice. Cause: all sends of a call have the same id, and after a refusal the connection went back to the pool, from which the next send took it or another one that the endpoint had kept. A late copy of the first refusal was then read as the answer to the second send, which was running. A new connection can carry nothing that answers an earlier send.

--- a/src/libs/gateway/call.h
+++ b/src/libs/gateway/call.h
@@ -55,6 +55,7 @@
                       const Quota::Decision &decision);
   void startSending(const std::string &endpoint);
   void send(const Fleet::Endpoint &endpoint);
+  HttpIo::ClientConnectionRef connectionForSend();
   HttpIo::ResponseCallbacks responseEvents();
   HttpIo::HeadVerdict onHead(const Http::ResponseHead &head,
                              Http::Framing framing);
--- a/src/libs/gateway/callsend.cpp
+++ b/src/libs/gateway/callsend.cpp
@@ -208,9 +208,7 @@
       std::chrono::duration_cast<Utils::Milliseconds>(Deadline - SentAt);
   ForwardMetadata metadata{EndpointId, Team ? Team->Name : noTeam, left,
                            priority, LastEventId};
-  bool unsafe = Route->Kind == Fleet::RouteKind::Unsafe;
-  Connection = State.Connections.acquire(
-      PoolKey, unsafe ? SentAt - MaxIdleForUnsafe : Utils::TimePoint::min());
+  Connection = connectionForSend();
   ++Sends;
   ++RunsStarted;
   NotExecuted = HeadIsAnswer = AnswerNamesCall = false;
@@ -225,6 +223,16 @@
       responseEvents());
 }
 
+HttpIo::ClientConnectionRef Call::connectionForSend() {
+  // All sends of a call have the same id, so a late copy of the answer to an
+  // earlier one could not be told from the answer to this one.
+  if (SentBefore)
+    return State.Connections.create();
+  bool unsafe = Route->Kind == Fleet::RouteKind::Unsafe;
+  return State.Connections.acquire(PoolKey, unsafe ? SentAt - MaxIdleForUnsafe
+                                                   : Utils::TimePoint::min());
+}
+
 HttpIo::ResponseCallbacks Call::responseEvents() {
   auto self = shared_from_this();
   HttpIo::ResponseCallbacks events;
--- a/src/libs/httpio/clientpool.cpp
+++ b/src/libs/httpio/clientpool.cpp
@@ -14,6 +14,10 @@
       return connection;
     connection->close();
   }
+  return create();
+}
+
+ClientConnectionRef ClientPool::create() {
   return std::make_shared<ClientConnection>(Loop);
 }
 
--- a/src/libs/httpio/clientpool.h
+++ b/src/libs/httpio/clientpool.h
@@ -18,6 +18,9 @@
   /// one.
   ClientConnectionRef acquire(const std::string &peer,
                               Utils::TimePoint usedSince);
+  /// Returns a new connection, on which nothing can arrive that answers an
+  /// earlier request.
+  ClientConnectionRef create();
   /// Returns a connection to the pool if it is reusable.
   void release(const std::string &peer, const ClientConnectionRef &connection);
   /// Closes all idle connections to the peer.
