Believe refusals that name no call on a connection's first exchange only

A refusal without an id was taken for the answer to whichever call waited on its connection, so that a late copy refused a call that was running (one send suffices). What a response shows about a send is decided in one place now, judgeReply, from what the response says and whether the connection was used before. A connection whose response is neither the call's refusal nor its answer is closed, since the answer may still follow.

--- a/src/libs/gateway/call.h
+++ b/src/libs/gateway/call.h
@@ -2,6 +2,7 @@
 #define GATEWAY_CALL_H
 
 #include "gateway/gateway.h"
+#include "gateway/replyverdict.h"
 
 #include <set>
 
@@ -65,6 +66,7 @@
   void abortOversizedAnswer();
   void onEnd(HttpIo::ExchangeResult end);
   void completeAnswer();
+  bool isAnswer() const { return Verdict == ReplyVerdict::Answer; }
   /// Whether the ended stream stops inside an event, or has none although
   /// nothing but the end of its connection says that it is complete.
   bool isStreamCutOff() const;
@@ -112,7 +114,7 @@
   /// When the head of the answer arrived.
   std::optional<Utils::TimePoint> AnsweredAt;
   Http::ResponseHead Head;
-  bool HeadIsAnswer = false;
+  ReplyVerdict Verdict = ReplyVerdict::Unproven;
   /// The answer has neither a length nor chunks.
   bool EndsWithConnection = false;
   bool NotExecuted = false;
--- a/src/libs/gateway/callsend.cpp
+++ b/src/libs/gateway/callsend.cpp
@@ -211,7 +211,8 @@
   Connection = connectionForSend();
   ++Sends;
   ++RunsStarted;
-  NotExecuted = HeadIsAnswer = AnswerNamesCall = false;
+  NotExecuted = AnswerNamesCall = false;
+  Verdict = ReplyVerdict::Unproven;
   ConnectionReused = Connection->exchanges() > 0;
   AnsweredAt.reset();
   Head = {};
@@ -248,21 +249,19 @@
 HttpIo::HeadVerdict Call::onHead(const Http::ResponseHead &head,
                                  Http::Framing framing) {
   ReplyMetadata reply = State.Clients.Calls.Reply(head);
-  if (!reply.CallId.empty() && reply.CallId != Metadata.Id) {
+  Verdict = judgeReply(reply, {Metadata.Id, ConnectionReused});
+  if (Verdict == ReplyVerdict::OtherCall) {
     logSkippedReply(reply.CallId, head.Status);
     return HttpIo::HeadVerdict::Skip;
   }
   AnswerNamesCall = !reply.CallId.empty();
   State.applyNotice(EndpointId, reply.Notice);
-  NotExecuted = reply.NotExecuted;
-  // A response without a call id may be a late duplicate of another call's
-  // response.
-  HeadIsAnswer = reply.Genuine && !NotExecuted && reply.CallId == Metadata.Id;
+  NotExecuted = Verdict == ReplyVerdict::Refusal;
   Head = head;
   EndsWithConnection = framing == Http::Framing::Close;
-  if (HeadIsAnswer && !reply.Notice.CallsPerSecond)
+  if (isAnswer() && !reply.Notice.CallsPerSecond)
     State.Coordination.noteEndpointLimit(EndpointId, std::nullopt);
-  if (HeadIsAnswer) {
+  if (isAnswer()) {
     AnsweredAt = Utils::BootClock::now();
     auto elapsed = *AnsweredAt - SentAt;
     State.HealthTracker.onFirstByte(
@@ -286,7 +285,7 @@
 
 void Call::onBody(std::string_view data) {
   Body += data;
-  if (HeadIsAnswer && streams() && isSuccess(Head.Status) && !Done)
+  if (isAnswer() && streams() && isSuccess(Head.Status) && !Done)
     forwardEvents();
   if (Body.size() > MaxAnswerBytes)
     abortOversizedAnswer();
@@ -337,7 +336,10 @@
     onBrokenOff();
     return onSendFailed(Balance::AttemptResult::ConnectionFailed);
   }
-  State.Connections.release(PoolKey, Connection);
+  if (isAnswer() || NotExecuted)
+    State.Connections.release(PoolKey, Connection);
+  else // The answer to the call may still follow.
+    Connection->close();
   if (NotExecuted) {
     if (needsModel())
       State.Coordination.member().recordModelMiss(EndpointId, Metadata.Model,
@@ -345,7 +347,7 @@
                                                   Utils::BootClock::now());
     return onSendFailed(Balance::AttemptResult::Refused);
   }
-  if (!HeadIsAnswer)
+  if (!isAnswer())
     return onSendFailed(Balance::AttemptResult::ConnectionFailed);
   if (isStreamCutOff()) {
     onBrokenOff();
@@ -424,6 +426,7 @@
       .with("end", Balance::attemptResultName(end))
       .with("status", Head.Status)
       .with("not_run", NotExecuted)
+      .with("verdict", replyVerdictName(Verdict))
       .with("named", AnswerNamesCall)
       .with("reused", ConnectionReused)
       .with("sent_before", SentBefore)
