Forward no endpoint's own answer whose status promises that the call has not run

A signed 408, 429 or 503 that does not state not-executed was forwarded, also of calls that may run once: callers took it as a promise, and the endpoint had run the call. Nothing but the statement, for this send, shows that it has not. Such an answer ends in 502 now, or in a repeat where the call may run again.

--- a/src/libs/gateway/callwire.h
+++ b/src/libs/gateway/callwire.h
@@ -62,6 +62,9 @@
   std::string CallId;
   /// The endpoint states that it has not executed the call.
   bool NotExecuted = false;
+  /// Callers take the status as a promise that the call has not been executed
+  /// and never will be.
+  bool PromisesNotExecuted = false;
   /// The response carries the endpoint's signature and its body is not
   /// re-encoded.
   bool Genuine = false;
--- a/src/libs/gateway/replyverdict.cpp
+++ b/src/libs/gateway/replyverdict.cpp
@@ -16,9 +16,9 @@
   // to an earlier call.
   if (reply.NotExecuted && (named || !send.ConnectionReused))
     return ReplyVerdict::Refusal;
-  if (reply.Genuine && named && !reply.NotExecuted)
-    return ReplyVerdict::Answer;
-  return ReplyVerdict::Unproven;
+  bool mayBeForwarded = reply.Genuine && !reply.PromisesNotExecuted;
+  return named && mayBeForwarded ? ReplyVerdict::Answer
+                                 : ReplyVerdict::Unproven;
 }
 
 } // namespace Gateway
--- a/tests/auto/gateway/replyverdict.cpp
+++ b/tests/auto/gateway/replyverdict.cpp
@@ -56,3 +56,13 @@
   unsignedReply.CallId = "mine";
   CHECK(judgeReply(unsignedReply, {"mine", false}) == ReplyVerdict::Unproven);
 }
+
+// Issue 37: an endpoint's own 503 was forwarded as a promise, and had run.
+TEST_CASE("signed answer whose status promises not-executed proves nothing "
+          "without the endpoint's statement") {
+  ReplyMetadata reply = answerOf("mine");
+  reply.PromisesNotExecuted = true;
+  CHECK(judgeReply(reply, {"mine", false}) == ReplyVerdict::Unproven);
+  reply.NotExecuted = true;
+  CHECK(judgeReply(reply, {"mine", false}) == ReplyVerdict::Refusal);
+}
--- a/tests/auto/sitewire/tst_sitewire.cpp
+++ b/tests/auto/sitewire/tst_sitewire.cpp
@@ -121,6 +121,16 @@
   CHECK(Wire.Reply({421, "", {}}).NotExecuted);
 }
 
+// Issue 37: an endpoint's own answers with these statuses reached callers.
+TEST_CASE_FIXTURE(CallWireFixture,
+                  "statuses that promise callers not-run are told from those "
+                  "that do not") {
+  for (unsigned status : {408U, 421U, 429U, 503U})
+    CHECK(Wire.Reply({status, "", {}}).PromisesNotExecuted);
+  for (unsigned status : {200U, 400U, 404U, 500U, 502U, 504U})
+    CHECK_FALSE(Wire.Reply({status, "", {}}).PromisesNotExecuted);
+}
+
 TEST_CASE(
     "endpoint notice is decoded from Server-Leaving and from Retry-After of a "
     "503") {
