--- a/tests/auto/sitewire/tst_sitewire.cpp
+++ b/tests/auto/sitewire/tst_sitewire.cpp
@@ -121,6 +121,23 @@
   CHECK(Wire.Reply({421, "", {}}).NotExecuted);
 }
 
+// Issue 37: the statement was believed with any status and any ids.
+TEST_CASE_FIXTURE(CallWireFixture,
+                  "response that contradicts itself proves neither an answer "
+                  "nor that the call has not run") {
+  Http::ResponseHead head{200, "", {}};
+  head.Headers.add("Request-Id", "r1");
+  head.Headers.add("Response-Seal", "s");
+  head.Headers.add("Not-Executed", "1");
+  CHECK_FALSE(Wire.Reply(head).NotExecuted);
+  CHECK_FALSE(Wire.Reply(head).Genuine);
+  head.Status = 503;
+  CHECK(Wire.Reply(head).NotExecuted);
+  head.Headers.add("Request-Id", "r2");
+  CHECK_FALSE(Wire.Reply(head).NotExecuted);
+  CHECK_FALSE(Wire.Reply(head).Genuine);
+}
+
 // Issue 37: an endpoint's own answers with these statuses reached callers.
 TEST_CASE_FIXTURE(CallWireFixture,
                   "statuses that promise callers not-run are told from those "
