Count an attempt before anything can take it back

An attempt at an endpoint whose address cannot be used was not counted, but taken back like one that the endpoint had refused. That took back the run of an earlier attempt that may have run, and the call ended in 503. An attempt is counted, and its state reset, at its beginning now, and each taken back once at most.

--- a/src/libs/gateway/call.h
+++ b/src/libs/gateway/call.h
@@ -55,6 +55,7 @@
   void pauseOverLimit(const std::string &endpoint,
                       const Quota::Decision &decision);
   void startSending(const std::string &endpoint);
+  void beginAttempt(const std::string &endpoint);
   void send(const Fleet::Endpoint &endpoint);
   HttpIo::ClientConnectionRef connectionForSend();
   HttpIo::ResponseCallbacks responseEvents();
--- a/src/libs/gateway/callsend.cpp
+++ b/src/libs/gateway/callsend.cpp
@@ -188,11 +188,22 @@
   return {Service, Metadata.Model, Metadata.Adapter, 1, uint32_t(left)};
 }
 
+void Call::beginAttempt(const std::string &endpoint) {
+  EndpointId = endpoint;
+  SentBefore = !TriedEndpoints.insert(endpoint).second;
+  ++RunsStarted; // Taken back if the call proves not to have run.
+  State.HealthTracker.onSent(endpoint);
+  NotExecuted = AnswerNamesCall = ConnectionReused = false;
+  Verdict = ReplyVerdict::Unproven;
+  AnsweredAt.reset();
+  Head = {};
+  Body.clear();
+}
+
 void Call::send(const Fleet::Endpoint &endpoint) {
+  beginAttempt(endpoint.Report.Id);
   std::error_code ec;
   auto address = HttpIo::parseEndpoint(endpoint.Report.Address, ec);
-  EndpointId = endpoint.Report.Id;
-  SentBefore = !TriedEndpoints.insert(EndpointId).second;
   if (ec) {
     Utils::Event("endpoint_address_unreadable")
         .with("endpoint", EndpointId)
@@ -209,15 +220,8 @@
   ForwardMetadata metadata{EndpointId, Team ? Team->Name : noTeam, left,
                            priority, LastEventId};
   Connection = connectionForSend();
-  ++Sends;
-  ++RunsStarted;
-  NotExecuted = AnswerNamesCall = false;
-  Verdict = ReplyVerdict::Unproven;
   ConnectionReused = Connection->exchanges() > 0;
-  AnsweredAt.reset();
-  Head = {};
-  Body.clear();
-  State.HealthTracker.onSent(EndpointId);
+  ++Sends;
   Connection->exchange(
       address,
       Http::serializeRequest(State.Clients.Calls.Forward(Request, metadata)),
@@ -396,7 +400,7 @@
 }
 
 void Call::onSendFailed(Balance::AttemptResult end) {
-  if (NotExecuted && RunsStarted > 0)
+  if (NotExecuted)
     --RunsStarted;
   endSend(end);
   if (Done)
