Send each order to an engine on a connection of its own

Answers to orders have no id, and orders shared kept connections with the reads of reports: a late copy of one answer was taken for that to the next order. A refused order then counted as accepted, or an accepted one as refused and was sent again; the count of orders that each names kept the engine from executing it, until a report showed the truth.

Evidence: tst_notrun 'late copy of an engine's answer' red before, green now.

--- a/src/libs/httpio/fetch.cpp
+++ b/src/libs/httpio/fetch.cpp
@@ -12,14 +12,16 @@
 class Fetch : public std::enable_shared_from_this<Fetch> {
 public:
   Fetch(ClientPool &pool, asio::io_context &loop, std::string peer,
-        FetchCallback done)
+        FetchCallback done, ConnectionUse use)
       : Pool(pool), DeadlineTimer(loop), Peer(std::move(peer)),
-        Done(std::move(done)) {}
+        Done(std::move(done)), Use(use) {}
 
   void start(const Tcp::endpoint &address, const Http::Request &request,
              Utils::TimePoint deadline) {
     auto self = shared_from_this();
-    Connection = Pool.acquire(Peer, Utils::TimePoint::min());
+    Connection = Use == ConnectionUse::New
+                     ? Pool.create()
+                     : Pool.acquire(Peer, Utils::TimePoint::min());
     DeadlineTimer.expires_at(deadline);
     DeadlineTimer.async_wait([self](const std::error_code &ec) {
       if (!ec)
@@ -62,7 +64,10 @@
   void onExchangeEnd(ExchangeResult result) {
     DeadlineTimer.cancel();
     if (result == ExchangeResult::Complete) {
-      Pool.release(Peer, Connection);
+      if (Use == ConnectionUse::New)
+        Connection->close();
+      else
+        Pool.release(Peer, Connection);
       return complete(std::move(Result));
     }
     Errc code = result == ExchangeResult::NotConnected ? Errc::Unavailable
@@ -81,6 +86,7 @@
   Timer DeadlineTimer;
   std::string Peer;
   FetchCallback Done;
+  ConnectionUse Use;
   ClientConnectionRef Connection;
   Response Result;
 };
@@ -89,13 +95,13 @@
 
 void fetch(ClientPool &pool, asio::io_context &loop, const std::string &peer,
            const Http::Request &request, Utils::TimePoint deadline,
-           FetchCallback done) {
+           FetchCallback done, ConnectionUse use) {
   std::error_code ec;
   Tcp::endpoint address = parseEndpoint(peer, ec);
   if (ec)
     return done(Utils::failure(Errc::InvalidArgument,
                                "\"" + peer + "\" is not an IP:PORT address"));
-  std::make_shared<Fetch>(pool, loop, peer, std::move(done))
+  std::make_shared<Fetch>(pool, loop, peer, std::move(done), use)
       ->start(address, request, deadline);
 }
 
--- a/src/libs/httpio/fetch.h
+++ b/src/libs/httpio/fetch.h
@@ -4,6 +4,7 @@
 #include "httpio/clientpool.h"
 #include "utils/outcome.h"
 
+#include <cstdint>
 #include <functional>
 
 namespace HttpIo {
@@ -13,6 +14,13 @@
   std::string Body;
 };
 
+enum class ConnectionUse : uint8_t {
+  Pooled, ///< An idle connection to the peer, if there is one.
+  /// A new connection for this request alone, on which no late copy of the
+  /// response to another request can arrive.
+  New,
+};
+
 using FetchCallback = std::function<void(Utils::Outcome<Response>)>;
 
 /// Sends a request to `peer`, an IP:PORT address, and passes the complete
@@ -21,7 +29,7 @@
 /// may have been processed, also when `deadline` passes first.
 void fetch(ClientPool &pool, asio::io_context &loop, const std::string &peer,
            const Http::Request &request, Utils::TimePoint deadline,
-           FetchCallback done);
+           FetchCallback done, ConnectionUse use = ConnectionUse::Pooled);
 
 } // namespace HttpIo
 
--- a/tests/auto/notrun/tst_notrun.cpp
+++ b/tests/auto/notrun/tst_notrun.cpp
@@ -1,3 +1,4 @@
+#include "platform/engineclient.h"
 #include "twoendpointfixture.h"
 
 #include <doctest/doctest.h>
@@ -94,8 +95,49 @@
   std::map<std::string, int> Runs;
 };
 
+/// A client of model engines and one engine, whose answers are scripted.
+struct OrderFixture {
+  Gateway::OrderReply sendOrder() {
+    Fleet::EndpointReport report;
+    report.Id = "i-1";
+    report.Address = Engine.address();
+    std::optional<Gateway::OrderReply> reply;
+    Client.SendOrder(report, {}, {}, Utils::BootClock::now() + 10s,
+                     [&](Gateway::OrderReply it) { reply = it; });
+    while (!reply)
+      Loop.run_one();
+    return *reply;
+  }
+  static std::string orderAnswer(unsigned status) {
+    return "HTTP/1.1 " + std::to_string(status) +
+           " X\r\nContent-Length: 0\r\n\r\n";
+  }
+
+  asio::io_context Loop{1};
+  HttpIo::ClientPool Connections{Loop};
+  std::deque<Script> Scripts;
+  ScriptedEndpoint Engine{Loop, Scripts};
+  Gateway::EngineClient Client = Platform::makeEngineClient(Connections, Loop);
+};
+
 } // namespace
 
+// Issue 37, the same cause at orders, whose answers have no id: a late copy of
+// an answer was taken for that to the next order.
+TEST_CASE_FIXTURE(OrderFixture,
+                  "late copy of an engine's answer to an order is not taken "
+                  "for that to the next order") {
+  using Gateway::OrderReply;
+  Script accepted{orderAnswer(202)};
+  accepted.LateCopy = orderAnswer(202);
+  Script rejected{orderAnswer(409)};
+  rejected.LateCopy = orderAnswer(409);
+  Scripts = {accepted, rejected, {orderAnswer(202)}};
+  CHECK(sendOrder() == OrderReply::Accepted);
+  CHECK(sendOrder() == OrderReply::OutOfSequence);
+  CHECK(sendOrder() == OrderReply::Accepted);
+}
+
 // Issue 37, TWICE: a copy of a refusal was taken for the answer to the next
 // send of the same call.
 TEST_CASE_FIXTURE(OneEndpointFixture,
