--- a/tests/auto/engine/tst_engine.cpp
+++ b/tests/auto/engine/tst_engine.cpp
@@ -104,6 +104,22 @@
   CHECK(server.connections() == (retryable ? 1 : calls));
 }
 
+// Issue 37: a late copy of a refusal would be taken for the answer to another
+// call that its caller gave the same id.
+TEST_CASE("connection is not reused after a response that is no success") {
+  ScriptedServer server([](const ReceivedRequest &request) {
+    std::string text = completeResponse(request.Id, "model not loaded");
+    text.replace(text.find("200"), 3, "503");
+    return ScriptedReply{text};
+  });
+  Engine::Endpoint endpoint = serviceAt(server.port());
+  auto call = callWith("a");
+  call.Retryable = true;
+  CHECK(sendTo(endpoint, call).Status == 503);
+  CHECK(sendTo(endpoint, call).Status == 503);
+  CHECK(server.connections() == 2);
+}
+
 TEST_CASE("cancelled call ends while the endpoint sends no response, and its "
           "connection is not reused") {
   std::atomic<bool> received = false;
