Reproduce odd entries that stop gateways from serving and following, red

But numbers and ports out of range name an endpoint that is used (calls refused, since attempts at it use up the retry budget), an entry with a name longer than a datagram keeps the holder's whole table from every other gateway, and a record whose key cannot be read stops the reading of its topic.

--- a/tests/auto/gateway/gatewayfixture.cpp
+++ b/tests/auto/gateway/gatewayfixture.cpp
@@ -1,6 +1,7 @@
 #include "gatewayfixture.h"
 
 #include "platform/callheaders.h"
+#include "platform/operatorconfig.h"
 
 #include <asio/ip/udp.hpp>
 #include <asio/write.hpp>
@@ -250,6 +251,8 @@
       ++EndpointReads;
       for (const Fleet::EndpointReport &it : Reports)
         read.Records.push_back({it.Id, it.Id});
+      for (const auto &[id, text] : RawEntries)
+        read.Records.push_back({id, text});
     }
     done(std::move(read));
   });
@@ -375,7 +378,10 @@
     copy->index();
     return Utils::Outcome<Fleet::ConfigurationRef>(copy);
   };
-  store.DecodeEndpoint = [this](const std::string &id, const std::string &) {
+  store.DecodeEndpoint = [this](const std::string &id,
+                                const std::string &text) {
+    if (RawEntries.count(id) > 0)
+      return Platform::decodeEndpointEntry(id, text);
     for (const Fleet::EndpointReport &it : Reports)
       if (it.Id == id)
         return Utils::Outcome<Fleet::EndpointReport>(it);
@@ -415,33 +421,53 @@
       it.State = Fleet::EndpointState::Draining;
       ++it.Sequence;
     }
+  awaitEndpointReads();
+}
+
+void GatewayFixture::awaitEndpointReads() {
   uint64_t before = EndpointReads;
   runUntil([&] { return EndpointReads >= before + 2; });
 }
 
 void GatewayFixture::reportLeaving(
     const std::vector<FleetLink::LeavingEndpoint> &leaving) {
+  FleetLink::Report report;
+  report.LeavingEndpoints = leaving;
+  exchangeReport(report);
+}
+
+FleetLink::Heartbeat GatewayFixture::exchangeReport(FleetLink::Report &report) {
   runUntil([&] { return DutyRecord.has_value(); });
   asio::ip::udp::socket socket(Loop, {asio::ip::address_v4::loopback(), 0});
-  FleetLink::Report out;
-  out.Member = "other";
-  out.Address = textOf(
+  report.Member = "other";
+  report.Address = textOf(
       {socket.local_endpoint().address(), socket.local_endpoint().port()});
-  out.Incarnation = 1;
-  out.LeavingEndpoints = leaving;
+  report.Incarnation = 1;
   std::string buf(FleetLink::MaxDatagramBytes, ' ');
-  bool answered = false;
-  socket.async_receive(asio::buffer(buf), [&](const std::error_code &, size_t) {
-    answered = true;
-  });
+  std::optional<FleetLink::Heartbeat> heartbeat;
+  std::function<void()> receive = [&] {
+    socket.async_receive(asio::buffer(buf), [&](const std::error_code &ec,
+                                                size_t n) {
+      if (ec)
+        return;
+      auto datagram = FleetLink::decode(std::string_view(buf).substr(0, n));
+      auto *it = datagram ? std::get_if<FleetLink::Heartbeat>(&datagram.value())
+                          : nullptr;
+      if (!it)
+        return receive();
+      heartbeat = std::move(*it);
+    });
+  };
+  receive();
   runUntil([&] {
     // Repeat the report: the gateway may not know yet that it is the holder.
-    ++out.Sequence;
+    ++report.Sequence;
     socket.send_to(
-        asio::buffer(FleetLink::encode(out)),
+        asio::buffer(FleetLink::encode(report)),
         {asio::ip::address_v4::loopback(), Settings.FirstInternalPort});
-    return answered;
+    return heartbeat.has_value();
   });
+  return *heartbeat;
 }
 
 std::string GatewayFixture::readiness() {
--- a/tests/auto/gateway/gatewayfixture.h
+++ b/tests/auto/gateway/gatewayfixture.h
@@ -136,11 +136,17 @@
   void publish();
   /// Marks an endpoint as draining and waits until the gateway has read it.
   void drainEndpoint(const std::string &id);
+  /// Waits until the gateway has read all entries.
+  void awaitEndpointReads();
 
   /// Sends a report of another gateway to this one, the holder, that these
   /// endpoints are shutting down, and waits for the reply.
   void reportLeaving(const std::vector<FleetLink::LeavingEndpoint> &leaving);
 
+  /// Sends a report of another gateway to this one, the holder, until it
+  /// answers, and returns the answer.
+  FleetLink::Heartbeat exchangeReport(FleetLink::Report &report);
+
   RawCaller &call(const std::string &prefix, const std::string &headers = "",
                   const std::string &method = "GET");
   RawCaller &connect();
@@ -160,6 +166,8 @@
   Gateway::GatewaySettings Settings;
   Fleet::Configuration Config;
   std::vector<Fleet::EndpointReport> Reports;
+  /// Entries of other writers beside the reports, by id, as the store has them.
+  std::map<std::string, std::string> RawEntries;
   /// Responses to the next requests, whichever endpoint receives them.
   std::deque<Script> Scripts;
   bool StoreAnswers = true;
--- a/tests/auto/notrun/tst_notrun.cpp
+++ b/tests/auto/notrun/tst_notrun.cpp
@@ -218,7 +218,7 @@
                   "endpoint whose address cannot be used") {
   Reports[1].Address = "127.0.0.1:99999";
   ++Reports[1].Sequence;
-  drainEndpoint(""); // Waits until the reports have been read.
+  awaitEndpointReads();
   int arrivals = 0;
   first().Respond = [&](const Http::Request &) {
     return ++arrivals == 1 ? Script{"", Action::Reset} : Script{NamedRefusal};
