--- a/src/libs/utils/decodejson.h
+++ b/src/libs/utils/decodejson.h
@@ -3,10 +3,34 @@
 
 #include "utils/outcome.h"
 
+#include <cmath>
+#include <cstdint>
 #include <nlohmann/json.hpp>
+#include <string>
 
 namespace Utils {
 
+/// Largest integer up to which every integer is exact as a JSON number.
+constexpr int64_t MaxExactInteger = int64_t(1) << 53;
+
+/// Returns the member as an integer. Throws an exception of the JSON library
+/// if it is missing, has another type or a fraction, or is out of range; the
+/// library's own conversion of such a number is undefined.
+inline int64_t integerIn(const nlohmann::json &object, const char *name,
+                         int64_t min, int64_t max) {
+  const nlohmann::json &it = object.at(name);
+  // As a double also for integers: those beyond MaxExactInteger are rejected.
+  double value = it.get<double>();
+  bool valid = value >= double(min) && value <= double(max) &&
+               std::floor(value) == value;
+  if (valid)
+    return int64_t(value);
+  constexpr int outOfRange = 401; // id of this out_of_range in the library
+  throw nlohmann::json::out_of_range::create(
+      outOfRange, std::string(name) + ": " + it.dump() + " is out of range",
+      &it);
+}
+
 /// Decodes the JSON body of a service's response with `decode(body)`. Fails
 /// with Errc::Corrupt when a member is missing or has another type; `what`
 /// begins the message. Not included by utils.h, since few users need the JSON
--- a/tests/auto/gateway/gatewayfixture.cpp
+++ b/tests/auto/gateway/gatewayfixture.cpp
@@ -1,7 +1,7 @@
 #include "gatewayfixture.h"
 
 #include "platform/callheaders.h"
-#include "platform/operatorconfig.h"
+#include "platform/endpointentry.h"
 
 #include <asio/ip/udp.hpp>
 #include <asio/write.hpp>
--- a/tests/auto/oddentries/tst_oddentries.cpp
+++ b/tests/auto/oddentries/tst_oddentries.cpp
@@ -1,7 +1,7 @@
 #include "gatewayfixture.h"
 
+#include "platform/endpointentry.h"
 #include "platform/keyedlog.h"
-#include "platform/operatorconfig.h"
 
 #include <doctest/doctest.h>
 
--- a/tests/auto/sitewire/tst_sitewire.cpp
+++ b/tests/auto/sitewire/tst_sitewire.cpp
@@ -1,4 +1,5 @@
 #include "platform/callheaders.h"
+#include "platform/endpointentry.h"
 #include "platform/engineclient.h"
 #include "platform/keyedlog.h"
 #include "platform/operatorconfig.h"
