Go on with a broken stream only by an answer like the one that began it

What continued a broken stream was any signed answer of the next endpoint: its events, or its end, became those of the stream. It must have the status and the content type of the answer that began the stream now, and one that ends with its connection must have had an event; anything else counts as a failed attempt, so that another endpoint is tried if the route and the budget allow it, and the stream ends broken off otherwise.

--- a/src/libs/explain/gatewaycauses.cpp
+++ b/src/libs/explain/gatewaycauses.cpp
@@ -199,7 +199,6 @@
     {"deadline", deadlineCause},
     {"deadline_in_stream", streamBrokenCause},
     {"stream_broken", streamBrokenCause},
-    {"resume_failed", streamBrokenCause},
     {"caller_gone", callerGoneCause},
 };
 
--- a/src/libs/gateway/call.h
+++ b/src/libs/gateway/call.h
@@ -59,6 +59,9 @@
   void send(const Fleet::Endpoint &endpoint);
   HttpIo::ClientConnectionRef connectionForSend();
   HttpIo::ResponseCallbacks responseEvents();
+  /// Whether an answer with this head may go on with the stream that another
+  /// endpoint has begun.
+  bool continuesStream(const Http::ResponseHead &head) const;
   HttpIo::HeadVerdict onHead(const Http::ResponseHead &head,
                              Http::Framing framing);
   void logSkippedReply(const std::string &callId, unsigned status) const;
@@ -127,6 +130,11 @@
   bool AnswerNamesCall = false;
   std::string Body;
 
+  /// Events of the answer have been forwarded to the caller.
+  bool EventsForwarded = false;
+
+  /// Head of the stream that has begun, whose rest other endpoints may send.
+  Http::ResponseHead StreamHead;
   /// Id of the last stream event that was forwarded to the caller in full.
   std::string LastEventId;
   std::set<std::string> TriedEndpoints;
--- a/src/libs/gateway/callsend.cpp
+++ b/src/libs/gateway/callsend.cpp
@@ -193,7 +193,7 @@
   SentBefore = !TriedEndpoints.insert(endpoint).second;
   ++RunsStarted; // Taken back if the call proves not to have run.
   State.HealthTracker.onSent(endpoint);
-  NotExecuted = AnswerNamesCall = ConnectionReused = false;
+  NotExecuted = AnswerNamesCall = ConnectionReused = EventsForwarded = false;
   Verdict = ReplyVerdict::Unproven;
   AnsweredAt.reset();
   Head = {};
@@ -250,6 +250,14 @@
   return events;
 }
 
+bool Call::continuesStream(const Http::ResponseHead &head) const {
+  constexpr std::string_view type = "Content-Type";
+  const std::string *begun = StreamHead.Headers.find(type);
+  const std::string *next = head.Headers.find(type);
+  bool sameType = begun && next ? *begun == *next : begun == next;
+  return head.Status == StreamHead.Status && sameType;
+}
+
 HttpIo::HeadVerdict Call::onHead(const Http::ResponseHead &head,
                                  Http::Framing framing) {
   ReplyMetadata reply = State.Clients.Calls.Reply(head);
@@ -258,6 +266,8 @@
     logSkippedReply(reply.CallId, head.Status);
     return HttpIo::HeadVerdict::Skip;
   }
+  if (isAnswer() && AnswerStarted && !continuesStream(head))
+    Verdict = ReplyVerdict::Unproven;
   AnswerNamesCall = !reply.CallId.empty();
   State.applyNotice(EndpointId, reply.Notice);
   NotExecuted = Verdict == ReplyVerdict::Refusal;
@@ -319,6 +329,7 @@
   if (isAnswering())
     recordAnswer();
   Caller->streamData(events);
+  EventsForwarded = true;
   if (std::string id = lastIdIn(events); !id.empty())
     LastEventId = id;
   Body.erase(0, events.size());
@@ -327,6 +338,7 @@
 void Call::beginStream() {
   if (std::exchange(AnswerStarted, true))
     return;
+  StreamHead = Head;
   Caller->beginStream(forwardedHead(Head));
 }
 
@@ -369,7 +381,7 @@
 bool Call::isStreamCutOff() const {
   if (!streams() || !isSuccess(Head.Status))
     return false;
-  bool hasNoEvent = !AnswerStarted && EndsWithConnection;
+  bool hasNoEvent = !EventsForwarded && EndsWithConnection;
   return !Body.empty() || hasNoEvent;
 }
 
@@ -377,10 +389,6 @@
   if (Done)
     return;
   if (!streams() || !isSuccess(Head.Status)) {
-    if (AnswerStarted) { // The next endpoint rejected the resumed stream.
-      Caller->abort();
-      return finish("resume_failed", Head.Status);
-    }
     if (isSuccess(Head.Status))
       recordAnswer();
     Caller->respond(forwardedHead(Head), Body);
