--- a/tests/auto/notrun/tst_notrun.cpp
+++ b/tests/auto/notrun/tst_notrun.cpp
@@ -245,8 +245,9 @@
         caller.send(fixture.requestText(route, id, headers, "POST"));
         callers[id] = &caller;
       }
-      for (auto &[id, caller] : callers) {
-        unsigned status = fixture.statusOf(*caller);
+      for (const auto &it : callers) {
+        const std::string &id = it.first;
+        unsigned status = fixture.statusOf(*it.second);
         CAPTURE(id);
         if (promisesNotRun(status))
           CHECK(fixture.Runs[id] == 0);
--- a/tests/auto/oddentries/tst_oddentries.cpp
+++ b/tests/auto/oddentries/tst_oddentries.cpp
@@ -24,7 +24,10 @@
   members[name] = value;
   std::string text;
   for (const auto &[key, it] : members)
-    text += (text.empty() ? "{\"" : ",\"") + key + "\":" + it;
+    text.append(text.empty() ? "{\"" : ",\"")
+        .append(key)
+        .append("\":")
+        .append(it);
   return text + "}";
 }
 
