Send calls on new connections to endpoints whose refusals name no call

After the first of them, calls go there on new connections for a minute, on which a refusal can only be that of the call.

Evidence: tst_notrun, new case red without it (502 where 200 is due).

--- a/src/libs/balance/healthtracker.cpp
+++ b/src/libs/balance/healthtracker.cpp
@@ -16,6 +16,10 @@
 /// Weight of the newest sample in moving averages.
 constexpr double NewSampleWeight = 0.2;
 
+/// How long an endpoint is taken to refuse without naming the call after it
+/// did.
+constexpr std::chrono::seconds UnnamedRefusalMemory{60};
+
 bool isFailure(AttemptResult result) {
   return result == AttemptResult::Failed ||
          result == AttemptResult::ConnectionFailed ||
@@ -76,6 +80,10 @@
   health.WithinLimitAt = withinLimitAt;
 }
 
+void HealthTracker::noteUnnamedRefusal(const std::string &id, TimePoint now) {
+  HealthById[id].UnnamedRefusalsUntil = now + UnnamedRefusalMemory;
+}
+
 const EndpointHealth &HealthTracker::health(const std::string &id) const {
   static const EndpointHealth unknown;
   auto it = HealthById.find(id);
--- a/src/libs/balance/healthtracker.h
+++ b/src/libs/balance/healthtracker.h
@@ -40,6 +40,8 @@
   TimePoint OverLimitUntil{};
   /// When such a call is expected to get one, as many ask for it.
   TimePoint WithinLimitAt{};
+  /// Until then the endpoint's refusals may name no call.
+  TimePoint UnnamedRefusalsUntil{};
   /// Moving average of the time to first byte of answered calls, in
   /// milliseconds; 0 before the first.
   double FirstByteMs = 0;
@@ -57,6 +59,7 @@
   /// EndpointHealth::OverLimitUntil and WithinLimitAt.
   void setOverLimit(const std::string &id, TimePoint until,
                     TimePoint withinLimitAt);
+  void noteUnnamedRefusal(const std::string &id, TimePoint now);
   const EndpointHealth &health(const std::string &id) const;
   void remove(const std::string &id);
 
--- a/src/libs/gateway/callsend.cpp
+++ b/src/libs/gateway/callsend.cpp
@@ -233,6 +233,9 @@
   // earlier one could not be told from the answer to this one.
   if (SentBefore)
     return State.Connections.create();
+  // Refusals without an id count on new connections only.
+  if (SentAt < State.HealthTracker.health(EndpointId).UnnamedRefusalsUntil)
+    return State.Connections.create();
   bool unsafe = Route->Kind == Fleet::RouteKind::Unsafe;
   return State.Connections.acquire(PoolKey, unsafe ? SentAt - MaxIdleForUnsafe
                                                    : Utils::TimePoint::min());
@@ -269,6 +272,8 @@
   if (isAnswer() && AnswerStarted && !continuesStream(head))
     Verdict = ReplyVerdict::Unproven;
   AnswerNamesCall = !reply.CallId.empty();
+  if (reply.NotExecuted && !AnswerNamesCall)
+    State.HealthTracker.noteUnnamedRefusal(EndpointId, Utils::BootClock::now());
   State.applyNotice(EndpointId, reply.Notice);
   NotExecuted = Verdict == ReplyVerdict::Refusal;
   Head = head;
--- a/tests/auto/notrun/tst_notrun.cpp
+++ b/tests/auto/notrun/tst_notrun.cpp
@@ -183,6 +183,19 @@
   CHECK(first().Requests.size() == 3);
 }
 
+// The platform's examples of refusals carry no id.
+TEST_CASE_FIXTURE(OneEndpointFixture,
+                  "call to an endpoint whose refusals name no call is sent "
+                  "again after the first of them") {
+  openConnections(1);
+  Scripts = {{UnnamedRefusal}};
+  CHECK(statusOf(callOnce()) == 502); // It might be a late copy.
+  for (int i = 0; i < 5; ++i) {
+    Scripts = {{UnnamedRefusal}, {answer(200, "ok")}};
+    CHECK(statusOf(callOnce()) == 200);
+  }
+}
+
 // Issue 37, REFUSED: an endpoint's own 503 was forwarded although it had run
 // the call.
 TEST_CASE_FIXTURE(OneEndpointFixture,
