--- a/tests/auto/engine/tst_engine.cpp
+++ b/tests/auto/engine/tst_engine.cpp
@@ -313,6 +313,30 @@
   CHECK(list.error().What.find("memory_mb") != std::string::npos);
 }
 
+// Issue 37, other operators: a port beyond the range was cut to another one.
+TEST_CASE("VM list with a port out of range is a failure that names the "
+          "member") {
+  std::string port;
+  ScriptedServer server([&](const ReceivedRequest &) {
+    return ScriptedReply{
+        completeResponse("", R"([{"name":"v","address":"127.0.0.1","port":)" +
+                                 port +
+                                 R"(,"failure_domain":"a",)"
+                                 R"("kind":"entry","state":"live"}])"),
+        true};
+  });
+  auto vms = Platform::makeHttpVmList("127.0.0.1", server.port());
+  for (const char *it : {"65616", "-1", "0", "1e300", "80.5"}) {
+    port = it;
+    auto list = vms.List();
+    CAPTURE(port);
+    REQUIRE_FALSE(list);
+    CHECK(list.error().What.find("port") != std::string::npos);
+  }
+  port = "65535";
+  CHECK(vms.List());
+}
+
 TEST_CASE(
     "engine report with an unknown replica state or without the memory used "
     "is a failure that names the value or member") {
