Keep the notice of a caller's disconnect for a call pipelined behind another

The end of a call cleared the notice of its connection after the response had been sent; the next call of the same connection begins within that send and had set its own. Its caller could leave unnoticed, and the endpoint worked on to the deadline.

--- a/src/libs/gateway/call.cpp
+++ b/src/libs/gateway/call.cpp
@@ -180,7 +180,6 @@
   // the endpoint.
   if (!Connection)
     DeadlineTimer.cancel();
-  Caller->OnDisconnect = nullptr;
   double seconds =
       std::chrono::duration<double>(Utils::BootClock::now() - ArrivedAt)
           .count();
--- a/tests/auto/gateway/troubles.cpp
+++ b/tests/auto/gateway/troubles.cpp
@@ -91,6 +91,36 @@
   CHECK(accepted.Received.find("slow") != std::string::npos);
 }
 
+// Issue 38: the end of the first call took the notice from the second one.
+TEST_CASE_FIXTURE(TwoEndpointFixture,
+                  "call that was pipelined behind another is cancelled at its "
+                  "endpoint when the caller disconnects") {
+  Config.Routes[2].Timeout = 1h; // Not its deadline ends the call.
+  publish();
+  script({StreamHead + chunk(event(1))});
+  RawCaller &caller = connect();
+  caller.send(requestText("/nowhere/", "q98", "", "GET") +
+              requestText("/stream/", "q99", "", "GET"));
+  runUntil([&] { return caller.Received.find("id: 1") != std::string::npos; });
+  caller.disconnect();
+  runUntil([&] { return first().Ended + second().Ended == 1; });
+}
+
+TEST_CASE_FIXTURE(TwoEndpointFixture,
+                  "call that was pipelined behind an answered one is cancelled "
+                  "at its endpoint when the caller disconnects") {
+  Config.Routes[2].Timeout = 1h;
+  publish();
+  Scripts = {{answer(200, "ok")}, {StreamHead + chunk(event(1))}};
+  RawCaller &caller = connect();
+  caller.send(requestText("/safe/", "q98", "", "GET") +
+              requestText("/stream/", "q99", "", "GET"));
+  runUntil([&] { return caller.Received.find("id: 1") != std::string::npos; });
+  int before = first().Ended + second().Ended;
+  caller.disconnect();
+  runUntil([&] { return first().Ended + second().Ended == before + 1; });
+}
+
 TEST_CASE_FIXTURE(TwoEndpointFixture, "slow stream is forwarded completely") {
   Script slow{StreamHead, Action::Repeat, "", 60ms};
   slow.Parts = {chunk(event(1)), chunk(event(2)), chunk(event(3)),
