Take a log read as complete only when it has reached the topic's end

A read that holds only the first part of what is new counted as complete: the gateway took what it knew as of that moment, and told it to others as such, while a withdrawn key or a leaving endpoint may stand in the rest. The age goes on counting until a read has reached the end that it names, and the rest is read at once.

Evidence: tst_topicfeed, new case red before, green now.

--- a/src/libs/gateway/store.h
+++ b/src/libs/gateway/store.h
@@ -28,6 +28,9 @@
   /// Offset of the next read.
   uint64_t Next = 0;
   std::vector<TopicRecord> Records;
+  /// End of the topic when it was read; above Next if one read could not hold
+  /// all records.
+  uint64_t End = 0;
 };
 
 /// A page of the newest records by key. The pages of a topic are not a
--- a/src/libs/gateway/topicfeed.cpp
+++ b/src/libs/gateway/topicfeed.cpp
@@ -90,11 +90,14 @@
                        bool isSnapshot) {
   noteSuccess();
   Complete = true;
-  CompleteUntil = std::max(CompleteUntil, sentAt);
+  bool hasMore =
+      !isSnapshot && !result.Records.empty() && result.Next < result.End;
+  if (!hasMore)
+    CompleteUntil = std::max(CompleteUntil, sentAt);
   Next = result.Next;
   if (isSnapshot || !result.Records.empty())
     OnRecords(result.Records, isSnapshot);
-  readAfter(Config.Pause);
+  readAfter(hasMore ? Utils::Milliseconds(0) : Config.Pause);
 }
 
 void TopicFeed::restartSnapshot() {
--- a/tests/auto/topicfeed/tst_topicfeed.cpp
+++ b/tests/auto/topicfeed/tst_topicfeed.cpp
@@ -20,7 +20,7 @@
     FakeStore.ReadFrom = [this](Topic, uint64_t from, Utils::Milliseconds,
                                 Utils::TimePoint, const Store::ReadDone &done) {
       ReadFrom = from;
-      asio::post(Loop, [from, done] { done(TopicRead{from, {}}); });
+      asio::post(Loop, [this, from, done] { answerLogRead(from, done); });
     };
   }
 
@@ -37,6 +37,13 @@
     done(std::move(out));
   }
 
+  /// Answers with one record at a time up to LogEnd.
+  void answerLogRead(uint64_t from, const Store::ReadDone &done) const {
+    if (from >= LogEnd)
+      return done(TopicRead{from, {}, from});
+    done(TopicRead{from + 1, {{"k", "value"}}, LogEnd});
+  }
+
   void runUntil(const std::function<bool()> &condition) {
     Feed.start(Utils::BootClock::now());
     while (!condition() && Loop.run_one() > 0)
@@ -53,12 +60,17 @@
   uint64_t ReadFrom = 0;
   Utils::Milliseconds MaxWait{0};
   std::vector<std::vector<TopicRecord>> Snapshots;
+  uint64_t LogEnd = 0;
+  /// Until when the feed was complete as each log read was applied.
+  std::vector<Utils::TimePoint> CompleteAtLogRead;
   TopicFeed Feed{Loop,
                  FakeStore,
                  {Topic::Endpoints, [this] { return MaxWait; }, 1ms},
                  [this](const auto &records, bool isSnapshot) {
                    if (isSnapshot)
                      Snapshots.push_back(records);
+                   else
+                     CompleteAtLogRead.push_back(Feed.completeUntil());
                  }};
 };
 
@@ -124,3 +136,14 @@
   runUntil([this] { return !Snapshots.empty(); });
   CHECK(Snapshots.size() == 1);
 }
+
+// Issue 38: what was still to be read counted as read.
+TEST_CASE_FIXTURE(PagedTopic,
+                  "feed is complete only when the last of several log reads "
+                  "has been applied") {
+  LogEnd = End + 3;
+  runUntil([this] { return CompleteAtLogRead.size() == 3; });
+  CHECK(CompleteAtLogRead[0] == CompleteAtLogRead[1]);
+  CHECK(CompleteAtLogRead[2] > CompleteAtLogRead[1]);
+  CHECK(Feed.next() == LogEnd);
+}
