Keep an endpoint's cool-down when its entry goes and comes back

An endpoint that wants nothing for a while and whose entry is removed and listed again meanwhile got calls before that time, since all that was known of its health went with the entry. The cool-down outlasts the removal and is dropped when it is over.

Evidence: tst_balance, new case red with the old removal, green now.

--- a/src/libs/balance/healthtracker.cpp
+++ b/src/libs/balance/healthtracker.cpp
@@ -39,7 +39,10 @@
   return names[static_cast<size_t>(result)];
 }
 
-void HealthTracker::onSent(const std::string &id) { ++HealthById[id].InFlight; }
+void HealthTracker::onSent(const std::string &id) {
+  ++HealthById[id].InFlight;
+  RemovedInCoolDown.erase(id);
+}
 
 void HealthTracker::onFirstByte(const std::string &id, double firstByteMs) {
   EndpointHealth &health = HealthById[id];
@@ -90,6 +93,19 @@
   return it == HealthById.end() ? unknown : it->second;
 }
 
-void HealthTracker::remove(const std::string &id) { HealthById.erase(id); }
+void HealthTracker::remove(const std::string &id, TimePoint now) {
+  std::erase_if(RemovedInCoolDown, [&](const std::string &it) {
+    bool over = now >= health(it).CoolDownUntil;
+    if (over)
+      HealthById.erase(it);
+    return over;
+  });
+  TimePoint coolDownUntil = health(id).CoolDownUntil;
+  HealthById.erase(id);
+  if (now >= coolDownUntil)
+    return;
+  HealthById[id].CoolDownUntil = coolDownUntil;
+  RemovedInCoolDown.insert(id);
+}
 
 } // namespace Balance
--- a/src/libs/balance/healthtracker.h
+++ b/src/libs/balance/healthtracker.h
@@ -4,6 +4,7 @@
 #include "utils/clock.h"
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -61,10 +62,14 @@
                     TimePoint withinLimitAt);
   void noteUnnamedRefusal(const std::string &id, TimePoint now);
   const EndpointHealth &health(const std::string &id) const;
-  void remove(const std::string &id);
+  /// Forgets an endpoint that is no longer listed, but for its cool-down: the
+  /// same endpoint may be listed again before that ends.
+  void remove(const std::string &id, TimePoint now);
 
 private:
   std::unordered_map<std::string, EndpointHealth> HealthById;
+  /// Endpoints that were removed before the end of their cool-down.
+  std::set<std::string> RemovedInCoolDown;
 };
 
 } // namespace Balance
--- a/src/libs/gateway/process.cpp
+++ b/src/libs/gateway/process.cpp
@@ -148,7 +148,7 @@
   };
   State.FleetView.OnEndpoint = [this](const std::string &id) {
     if (!State.FleetView.endpoints().find(id))
-      State.HealthTracker.remove(id);
+      State.HealthTracker.remove(id, Utils::BootClock::now());
     State.Coordination.onEndpoint(id);
   };
   CallerPolicy->OnRequest = [this](const HttpIo::ServerConnectionRef &caller,
--- a/tests/auto/balance/tst_balance.cpp
+++ b/tests/auto/balance/tst_balance.cpp
@@ -96,6 +96,29 @@
   CHECK_FALSE(isAvoided());
 }
 
+// Issue 38: the endpoint got calls again before the time that it had named.
+TEST_CASE_FIXTURE(TrackedEndpoint,
+                  "cool-down of an endpoint outlasts its removal from the list "
+                  "and ends at its time") {
+  Tracker.coolDown("e", Now + 10s);
+  endAttempt(AttemptResult::ConnectionFailed);
+  Tracker.remove("e", Now);
+  CHECK(Tracker.health("e").CoolDownUntil == Now + 10s);
+  CHECK_FALSE(isAvoided());
+  Tracker.remove("other", Now + 10s);
+  CHECK(Tracker.health("e").CoolDownUntil == Utils::TimePoint{});
+}
+
+TEST_CASE_FIXTURE(TrackedEndpoint,
+                  "cool-down of an endpoint that was removed and is in use "
+                  "again stays with it") {
+  Tracker.coolDown("e", Now + 10s);
+  Tracker.remove("e", Now);
+  Tracker.onSent("e");
+  Tracker.remove("other", Now + 10s);
+  CHECK(Tracker.health("e").InFlight == 1);
+}
+
 TEST_CASE("call with unsafe or non-resumable route is not retried after it may "
           "have run") {
   CallProgress progress = failedAttempt(RouteKind::Unsafe);
