Remove endpoints that the holder's complete table does not list

Cause: the holder tells gateways of a removal by an entry marked as removed, which it can only make for an endpoint that its own process has seen. One that is killed and starts again within a second begins a new table with what the store lists. An endpoint that went meanwhile is in neither, so no gateway hears of it; the holder's answers postpone the gateways' own reads, which would show it. Ruled out: the gateways' reads of the store (none is made) and the duty (the new table arrives, complete, within half a second).

Change: a complete table counts for what it does not list as well. An endpoint that is not listed is removed if this gateway heard of it before the holder's read of the store, and only if that read is recent, so that a holder that has read nothing removes nothing.

--- a/src/libs/gateway/fleetmember.h
+++ b/src/libs/gateway/fleetmember.h
@@ -117,6 +117,12 @@
   bool hasLiveHolder(TimePoint now) const;
   /// Whether the holder's whole table has been received.
   bool hasCompleteTable() const { return Table.isComplete(); }
+  /// See FleetTable::unlisted().
+  std::vector<std::string>
+  unlistedEndpoints(const Fleet::EndpointTable &endpoints,
+                    TimePoint asOf) const {
+    return Table.unlisted(endpoints, asOf);
+  }
   /// Time from which the endpoint can run calls of the model and adapter; none
   /// if it neither holds nor loads them.
   std::optional<TimePoint> readyAt(const Fleet::Endpoint &endpoint,
--- a/src/libs/gateway/fleettable.cpp
+++ b/src/libs/gateway/fleettable.cpp
@@ -134,6 +134,21 @@
   return it == EndpointsByModel.end() ? &none : &it->second;
 }
 
+std::vector<std::string>
+FleetTable::unlisted(const Fleet::EndpointTable &endpoints,
+                     TimePoint asOf) const {
+  std::vector<std::string> out;
+  auto listed = Endpoints.begin(); // Both are ordered by id.
+  for (const auto &[id, endpoint] : endpoints.all()) {
+    while (listed != Endpoints.end() && listed->first < id)
+      ++listed;
+    bool isListed = listed != Endpoints.end() && listed->first == id;
+    if (!isListed && endpoint.ReportedAt <= asOf)
+      out.push_back(id);
+  }
+  return out;
+}
+
 void FleetTable::markNotReady(const std::string &endpoint,
                               const std::string &model,
                               const std::string &adapter, TimePoint until) {
--- a/src/libs/gateway/fleettable.h
+++ b/src/libs/gateway/fleettable.h
@@ -42,6 +42,10 @@
   bool isDraining(const std::string &endpoint) const {
     return Draining.count(endpoint) > 0;
   }
+  /// Endpoints that this gateway knows by reports from before `asOf`, and that
+  /// the table does not list.
+  std::vector<std::string> unlisted(const Fleet::EndpointTable &endpoints,
+                                    TimePoint asOf) const;
   /// Treats the model or adapter as not ready at the endpoint until then,
   /// whatever the table says.
   void markNotReady(const std::string &endpoint, const std::string &model,
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -88,6 +88,7 @@
   void onHeartbeat(const FleetLink::Heartbeat &heartbeat,
                    Utils::TimePoint reportedAt);
   void applyEntries(const FleetLink::Heartbeat &heartbeat);
+  void removeUnlisted(Utils::TimePoint asOf);
   void applyLimits();
   void runHousekeeping();
   void awaitSignals();
--- a/src/libs/gateway/process.cpp
+++ b/src/libs/gateway/process.cpp
@@ -248,9 +248,11 @@
         heartbeat.OperatorsNext,
         reportedAt - milliseconds(heartbeat.OperatorsAgeMs), reportedAt);
     Utils::TimePoint asOf = reportedAt - milliseconds(heartbeat.EndpointsAgeMs);
-    if (State.Coordination.member().hasCompleteTable())
+    if (State.Coordination.member().hasCompleteTable()) {
+      if (asOf + MaxRelayedAge >= reportedAt)
+        removeUnlisted(asOf);
       EndpointFeed.noteHolderSnapshot(asOf, reportedAt);
-    else
+    } else
       EndpointFeed.awaitHolderSnapshot(asOf, reportedAt);
   }
   State.PendingDispatch.retry();
@@ -268,6 +270,17 @@
     }
 }
 
+/// Removes the endpoints that the holder's table, read from the store at
+/// `asOf`, does not list. A holder sends the removals that it has seen itself:
+/// one that has just started does not know what its predecessor listed.
+void Process::removeUnlisted(Utils::TimePoint asOf) {
+  auto unlisted = State.Coordination.member().unlistedEndpoints(
+      State.FleetView.endpoints(), asOf);
+  Utils::TimePoint now = Utils::BootClock::now();
+  for (const std::string &id : unlisted)
+    State.FleetView.removeEndpoint(id, now);
+}
+
 bool Process::isReady() const {
   return !ShuttingDown && State.FleetView.configuration() != nullptr &&
          EndpointFeed.hasSnapshot();
--- a/tests/auto/fleettable/tst_fleettable.cpp
+++ b/tests/auto/fleettable/tst_fleettable.cpp
@@ -274,6 +274,20 @@
   }
 }
 
+TEST_CASE("endpoint that the table does not list counts as unlisted only if it "
+          "was reported before the holder read the store") {
+  TestHolder holder(1);
+  holder.set("i-2", "m");
+  TestMember member;
+  member.exchange(holder, 1);
+  constexpr TimePoint reportedAt{1h};
+  for (const char *id : {"i-1", "i-2", "i-3"})
+    member.Own.update(reportOf(id, {"m"}), reportedAt);
+  CHECK(member.Table.unlisted(member.Own, reportedAt - 1ms).empty());
+  CHECK(member.Table.unlisted(member.Own, reportedAt) ==
+        std::vector<std::string>{"i-1", "i-3"});
+}
+
 TEST_CASE("table changelog fills a heartbeat up to its limit in bytes with at "
           "least one entry") {
   TableChangelog changelog(1, {});
--- a/tests/auto/gateway/gatewayfixture.cpp
+++ b/tests/auto/gateway/gatewayfixture.cpp
@@ -181,22 +181,28 @@
                          });
 }
 
-GatewayFixture::GatewayFixture() {
-  Settings.VmName = "vm";
-  Settings.FailureDomain = "z";
-  Settings.RetrySlack = 100;
-  Settings.IpAddress = "127.0.0.1";
+GatewayFixture::GatewayFixture() { Settings = makeSettings("vm"); }
+
+Gateway::GatewaySettings
+GatewayFixture::makeSettings(const std::string &vmName) {
+  Gateway::GatewaySettings out;
+  out.VmName = vmName;
+  out.FailureDomain = "z";
+  out.RetrySlack = 100;
+  out.IpAddress = "127.0.0.1";
   asio::ip::udp::socket port(Loop, {asio::ip::address_v4::loopback(), 0});
-  Settings.FirstInternalPort = port.local_endpoint().port();
-  Settings.MetricsPort = reservePort();
+  out.FirstInternalPort = port.local_endpoint().port();
+  out.MetricsPort = reservePort(vmName);
   port.close();
-  Settings.CallerAddress = "127.0.0.1:" + std::to_string(reservePort());
-  Settings.ReadinessAddress = "127.0.0.1:" + std::to_string(reservePort());
+  out.CallerAddress = "127.0.0.1:" + std::to_string(reservePort(vmName));
+  out.ReadinessAddress = "127.0.0.1:" + std::to_string(reservePort(vmName));
+  return out;
 }
 
-uint16_t GatewayFixture::reservePort() {
-  ReservedPorts.emplace_back(Loop, Loopback);
-  return ReservedPorts.back().local_endpoint().port();
+uint16_t GatewayFixture::reservePort(const std::string &vmName) {
+  auto &ports = ReservedPorts[vmName];
+  ports.emplace_back(Loop, Loopback);
+  return ports.back().local_endpoint().port();
 }
 
 ScriptedEndpoint &GatewayFixture::addEndpoint(const std::string &service,
@@ -230,31 +236,47 @@
   return Config.Routes.back();
 }
 
-void GatewayFixture::runAfter(std::chrono::milliseconds pause,
-                              const std::function<void()> &callback) {
-  auto timer = std::make_shared<HttpIo::Timer>(Loop);
+namespace {
+
+void runOnLoopAfter(asio::io_context &loop, std::chrono::milliseconds pause,
+                    const std::function<void()> &callback) {
+  auto timer = std::make_shared<HttpIo::Timer>(loop);
   timer->expires_after(pause);
   timer->async_wait([timer, callback](const std::error_code &) { callback(); });
 }
 
-void GatewayFixture::answerRead(Gateway::Topic topic,
+} // namespace
+
+void GatewayFixture::runAfter(std::chrono::milliseconds pause,
+                              const std::function<void()> &callback) {
+  runOnLoopAfter(Loop, pause, callback);
+}
+
+Gateway::TopicRead GatewayFixture::recordsOf(Gateway::Topic topic) const {
+  Gateway::TopicRead read;
+  if (topic == Gateway::Topic::Operators) {
+    read.Records.push_back({"config", "text"});
+    return read;
+  }
+  for (const std::string &id : RemovedEntries)
+    read.Records.push_back({id, std::nullopt});
+  for (const Fleet::EndpointReport &it : Reports)
+    read.Records.push_back({it.Id, it.Id});
+  for (const auto &[id, text] : RawEntries)
+    read.Records.push_back({id, text});
+  return read;
+}
+
+void GatewayFixture::answerRead(asio::io_context &loop, const bool &answers,
+                                Gateway::Topic topic,
                                 const Gateway::Store::ReadDone &done) {
-  runAfter(1ms, [this, topic, done] {
-    if (!StoreAnswers)
+  runOnLoopAfter(loop, 1ms, [this, &loop, &answers, topic, done] {
+    if (!answers)
       return done(
           Utils::failure(Utils::Errc::Unavailable, "store: unavailable"));
-    Gateway::TopicRead read;
-    if (topic == Gateway::Topic::Operators) {
-      ++ConfigReads;
-      read.Records.push_back({"config", "text"});
-    } else {
-      ++EndpointReads;
-      for (const Fleet::EndpointReport &it : Reports)
-        read.Records.push_back({it.Id, it.Id});
-      for (const auto &[id, text] : RawEntries)
-        read.Records.push_back({id, text});
-    }
-    done(std::move(read));
+    if (&loop == &Loop)
+      ++(topic == Gateway::Topic::Operators ? ConfigReads : EndpointReads);
+    done(recordsOf(topic));
   });
 }
 
@@ -343,29 +365,35 @@
   return client;
 }
 
-Gateway::Store GatewayFixture::makeStore() {
+Gateway::Store GatewayFixture::makeStore(asio::io_context &loop,
+                                         const bool &answers) {
   Gateway::Store store;
   store.ConfigurationKey = "config";
-  store.ReadPage = [this](auto topic, const auto &, auto, auto done) {
-    answerRead(topic, [done](Utils::Outcome<Gateway::TopicRead> read) {
-      if (!read)
-        return done(read.error());
-      done(Gateway::TopicPage{read->Next, std::move(read.value().Records), ""});
-    });
+  store.ReadPage = [this, &loop, &answers](auto topic, const auto &, auto,
+                                           auto done) {
+    answerRead(loop, answers, topic,
+               [done](Utils::Outcome<Gateway::TopicRead> read) {
+                 if (!read)
+                   return done(read.error());
+                 done(Gateway::TopicPage{read->Next,
+                                         std::move(read.value().Records), ""});
+               });
   };
-  store.ReadFrom = [this](auto topic, auto, auto maxWait, auto, auto done) {
-    if (topic == Gateway::Topic::Operators)
+  store.ReadFrom = [this, &loop, &answers](auto topic, auto, auto maxWait, auto,
+                                           auto done) {
+    if (topic == Gateway::Topic::Operators && &loop == &Loop)
       ConfigurationPollTimeout = maxWait;
-    answerRead(topic, std::move(done));
+    answerRead(loop, answers, topic, std::move(done));
   };
-  store.ReadDuty = [this](auto, auto done) {
-    runAfter(1ms, [this, done] {
+  store.ReadDuty = [this, &loop](auto, auto done) {
+    runOnLoopAfter(loop, 1ms, [this, done] {
       done(Gateway::DutyRead{DutyRecord, DutyEnd});
     });
   };
-  store.AppendDuty = [this](auto end, const auto &value, auto, auto done) {
-    runAfter(1ms, [this, end, value, done] {
-      if (!StoreAnswers || end != DutyEnd)
+  store.AppendDuty = [this, &loop, &answers](auto end, const auto &value, auto,
+                                             auto done) {
+    runOnLoopAfter(loop, 1ms, [this, &answers, end, value, done] {
+      if (!answers || end != DutyEnd)
         return done(Utils::failure(Utils::Errc::Conflict, "store"));
       DutyRecord = value;
       if (OnDutyAppended)
@@ -395,8 +423,8 @@
   ++Config.Version;
   Process = std::make_unique<Gateway::Process>(
       Loop, Settings,
-      Gateway::PlatformClients{Platform::makeCallWire(), makeStore(),
-                               makeEngines()});
+      Gateway::PlatformClients{Platform::makeCallWire(),
+                               makeStore(Loop, StoreAnswers), makeEngines()});
   ReservedPorts.clear();
   Utils::Status started = Process->start();
   INFO((started ? "" : started.error().What));
@@ -409,21 +437,46 @@
     Loop.run_one();
 }
 
+OtherGateway &
+GatewayFixture::startOther(const std::string &name,
+                           const Gateway::GatewaySettings &settings) {
+  OtherGateway &other = Others[name];
+  other.Process = std::make_unique<Gateway::Process>(
+      other.Loop, settings,
+      Gateway::PlatformClients{Platform::makeCallWire(),
+                               makeStore(other.Loop, other.StoreAnswers),
+                               makeEngines()});
+  ReservedPorts.erase(settings.VmName);
+  Utils::Status started = other.Process->start();
+  INFO((started ? "" : started.error().What));
+  REQUIRE(started);
+  return other;
+}
+
 void GatewayFixture::publish() {
   ++Config.Version;
   uint64_t before = ConfigReads;
   runUntil([&] { return ConfigReads >= before + 2; });
 }
 
-void GatewayFixture::drainEndpoint(const std::string &id) {
+void GatewayFixture::markDraining(const std::string &id) {
   for (Fleet::EndpointReport &it : Reports)
     if (it.Id == id) {
       it.State = Fleet::EndpointState::Draining;
       ++it.Sequence;
     }
+}
+
+void GatewayFixture::drainEndpoint(const std::string &id) {
+  markDraining(id);
   awaitEndpointReads();
 }
 
+void GatewayFixture::removeEntry(const std::string &id) {
+  std::erase_if(Reports, [&](const auto &it) { return it.Id == id; });
+  RemovedEntries.push_back(id);
+}
+
 void GatewayFixture::awaitEndpointReads() {
   uint64_t before = EndpointReads;
   runUntil([&] { return EndpointReads >= before + 2; });
@@ -516,7 +569,9 @@
   auto limit = Utils::BootClock::now() + 60s;
   while (!condition()) {
     REQUIRE(Utils::BootClock::now() < limit);
-    Loop.run_one_for(100ms);
+    for (auto &[name, other] : Others)
+      other.Loop.poll();
+    Loop.run_one_for(Others.empty() ? 100ms : 1ms);
   }
 }
 
--- a/tests/auto/gateway/gatewayfixture.h
+++ b/tests/auto/gateway/gatewayfixture.h
@@ -114,6 +114,15 @@
   int StaleOrders = 0;
 };
 
+/// Another gateway of the fleet, before the same store. It runs on a loop of
+/// its own, so that destroying it ends it like a kill.
+struct OtherGateway {
+  asio::io_context Loop{1};
+  /// Whether the store answers its reads.
+  bool StoreAnswers = true;
+  std::unique_ptr<Gateway::Process> Process;
+};
+
 /// A gateway between scripted callers and endpoints, with a store that the test
 /// controls. Waits for events, never for a fixed time.
 class GatewayFixture {
@@ -134,8 +143,12 @@
   /// Publishes the configuration again as a newer version and waits until the
   /// gateway has read it.
   void publish();
+  /// Marks an endpoint as draining in the store.
+  void markDraining(const std::string &id);
   /// Marks an endpoint as draining and waits until the gateway has read it.
   void drainEndpoint(const std::string &id);
+  /// Removes an endpoint's entry from the store.
+  void removeEntry(const std::string &id);
   /// Waits until the gateway has read all entries.
   void awaitEndpointReads();
 
@@ -161,6 +174,13 @@
   unsigned statusOf(RawCaller &caller);
   std::string readiness();
   std::string metrics();
+  /// Returns settings with ports of their own for another gateway.
+  Gateway::GatewaySettings makeSettings(const std::string &vmName);
+  /// Starts another gateway with these settings.
+  OtherGateway &startOther(const std::string &name,
+                           const Gateway::GatewaySettings &settings);
+  /// Ends another gateway without notice.
+  void killOther(const std::string &name) { Others.erase(name); }
 
   asio::io_context Loop{1};
   Gateway::GatewaySettings Settings;
@@ -168,6 +188,8 @@
   std::vector<Fleet::EndpointReport> Reports;
   /// Entries of other writers beside the reports, by id, as the store has them.
   std::map<std::string, std::string> RawEntries;
+  /// Ids of the entries that were removed.
+  std::vector<std::string> RemovedEntries;
   /// Responses to the next requests, whichever endpoint receives them.
   std::deque<Script> Scripts;
   bool StoreAnswers = true;
@@ -180,14 +202,19 @@
   std::list<ScriptedEndpoint> Endpoints;
   std::list<RawCaller> Callers;
   std::unique_ptr<Gateway::Process> Process;
-  /// Called when the gateway has claimed or renewed the fleet's duty.
+  /// By name.
+  std::map<std::string, OtherGateway> Others;
+  /// Called when a gateway has claimed or renewed the fleet's duty.
   std::function<void()> OnDutyAppended;
   void runAfter(std::chrono::milliseconds pause,
                 const std::function<void()> &callback);
 
 private:
-  Gateway::Store makeStore();
-  void answerRead(Gateway::Topic topic, const Gateway::Store::ReadDone &done);
+  /// `answers`: whether the store answers this gateway's reads.
+  Gateway::Store makeStore(asio::io_context &loop, const bool &answers);
+  void answerRead(asio::io_context &loop, const bool &answers,
+                  Gateway::Topic topic, const Gateway::Store::ReadDone &done);
+  Gateway::TopicRead recordsOf(Gateway::Topic topic) const;
   Gateway::EngineClient makeEngines();
   void recordRequest(const Gateway::EngineClient::NoticeSink &notices,
                      const std::string &id);
@@ -195,10 +222,10 @@
                    const Gateway::OrderMetadata &metadata,
                    const std::function<void(Gateway::OrderReply)> &done);
   std::string fetch(const std::string &address, const std::string &path);
-  uint16_t reservePort();
-  /// Keeps the ports reserved until the gateway listens, so that no scripted
-  /// endpoint is assigned one.
-  std::vector<asio::ip::tcp::acceptor> ReservedPorts;
+  uint16_t reservePort(const std::string &vmName);
+  /// Keeps the ports of each gateway reserved until it listens, so that no
+  /// scripted endpoint is assigned one.
+  std::map<std::string, std::vector<asio::ip::tcp::acceptor>> ReservedPorts;
 
   uint64_t ConfigReads = 0;
   uint64_t EndpointReads = 0;
