Pass on what the next holder read between two holders

Without a holder each gateway reads the store itself. The one that takes the duty next gives its entries the revisions of the former holder's table, also those that it has read in another state since. Other gateways have these revisions already, so the change is sent to nobody, and the holder's answers postpone their own reads.

Change: a gateway compares its view with the table when it takes the duty. An endpoint that is new, gone, restarted or leaving, unlike in the table, gets a revision of the new holder. The table keeps the start time and the state of each endpoint for this in one struct with its models.

--- a/src/libs/gateway/fleetagent.cpp
+++ b/src/libs/gateway/fleetagent.cpp
@@ -337,7 +337,7 @@
       }};
   Holder = std::make_unique<FleetHolder>(
       std::move(context), Duty.lease().HeldToken,
-      Self.takeoverState(Utils::BootClock::now()));
+      Self.takeoverState(Ctx.FleetView.endpoints(), Utils::BootClock::now()));
   Ctx.OnDutyTaken();
   if (!LastHolderAddress.empty() && LastHolderAddress != Address)
     Holder->announce(LastHolderAddress);
--- a/src/libs/gateway/fleetholder.cpp
+++ b/src/libs/gateway/fleetholder.cpp
@@ -128,6 +128,8 @@
   for (const auto &[id, endpoint] : Ctx.FleetView.endpoints().all())
     onEndpoint(id);
   TableChanges.adoptRevisions(inherited.Table);
+  for (const std::string &id : inherited.DifferingEndpoints)
+    noteEndpointChange(id, true);
   if (uint64_t next = Ctx.ReadProgress().EndpointsNext; next > 0)
     onAllEndpointsRead(next);
   bool isFirst = token == 1;
--- a/src/libs/gateway/fleetmember.cpp
+++ b/src/libs/gateway/fleetmember.cpp
@@ -157,14 +157,17 @@
   return std::exchange(Decided, {});
 }
 
-TakeoverState FleetMember::takeoverState(TimePoint now) {
+TakeoverState FleetMember::takeoverState(const Fleet::EndpointTable &endpoints,
+                                         TimePoint now) {
   TakeoverState out;
   for (auto &[team, limiter] : Limiters)
     if (auto level = limiter.estimatedLevel(now))
       out.Levels[team] = *level;
   // A holder can't start from an incomplete table.
-  if (Table.isComplete())
+  if (Table.isComplete()) {
     out.Table = Table.known();
+    out.DifferingEndpoints = Table.differing(endpoints);
+  }
   out.Quarantines = Evidence.quarantines();
   return out;
 }
--- a/src/libs/gateway/fleetmember.h
+++ b/src/libs/gateway/fleetmember.h
@@ -27,6 +27,9 @@
 struct TakeoverState {
   std::map<std::string, double> Levels;
   KnownTable Table;
+  /// Endpoints of which this gateway knows another state than the table has;
+  /// the other gateways may not know it.
+  std::vector<std::string> DifferingEndpoints;
   std::vector<Quarantine::Entry> Quarantines;
 };
 
@@ -65,7 +68,8 @@
   std::vector<Quota::Decision> apply(const FleetLink::Grant &grant,
                                      TimePoint now);
 
-  TakeoverState takeoverState(TimePoint now);
+  TakeoverState takeoverState(const Fleet::EndpointTable &endpoints,
+                              TimePoint now);
 
   // Counters of calls.
 
--- a/src/libs/gateway/fleettable.cpp
+++ b/src/libs/gateway/fleettable.cpp
@@ -59,7 +59,6 @@
   Token = heartbeat.Token;
   Complete = false;
   Unconfirmed.clear();
-  Draining.clear();
   Endpoints.clear();
   if (!heartbeat.TableBaseFromStore)
     return;
@@ -68,9 +67,11 @@
       heartbeat.TableBaseRevision - FleetLink::ReservedRevisions;
   for (const auto &[id, endpoint] : endpoints.all()) {
     Known.Revisions[id] = ++revision;
-    auto &held = Endpoints[id];
+    ListedEndpoint &listed = Endpoints[id];
+    listed.StartedUnixMs = endpoint.Report.StartedUnixMs;
+    listed.Draining = endpoint.Report.State == Fleet::EndpointState::Draining;
     for (const Fleet::ResidentModel &model : endpoint.Report.Models) {
-      HeldModel &it = held[model.Name];
+      HeldModel &it = listed.Models[model.Name];
       for (const std::string &adapter : model.Adapters)
         it.Adapters[adapter] = {};
     }
@@ -81,17 +82,14 @@
                             TimePoint now) {
   Known.Revisions[entry.Endpoint] = entry.Revision;
   Unconfirmed.erase(entry.Endpoint);
-  Draining.erase(entry.Endpoint);
-  if (entry.Draining)
-    Draining.insert(entry.Endpoint);
   if (entry.Removed) {
     Endpoints.erase(entry.Endpoint);
     return;
   }
-  auto &held = Endpoints[entry.Endpoint];
-  held.clear();
+  ListedEndpoint &listed = Endpoints[entry.Endpoint];
+  listed = {{}, entry.StartedUnixMs, entry.Draining};
   for (const FleetLink::ModelEntry &model : entry.Models) {
-    HeldModel &it = held[model.Name];
+    HeldModel &it = listed.Models[model.Name];
     it.ReadyAt = readyTimePoint(model.ReadyInMs, now);
     for (const FleetLink::AdapterEntry &adapter : model.Adapters)
       it.Adapters[adapter.Name] = readyTimePoint(adapter.ReadyInMs, now);
@@ -100,8 +98,8 @@
 
 void FleetTable::indexByModel() {
   EndpointsByModel.clear();
-  for (const auto &[id, models] : Endpoints)
-    for (const auto &[model, held] : models)
+  for (const auto &[id, listed] : Endpoints)
+    for (const auto &[model, held] : listed.Models)
       EndpointsByModel[model].push_back(id);
 }
 
@@ -114,8 +112,9 @@
                                  : endpoint.hasAdapter(model, adapter);
     return holds ? std::optional(TimePoint{}) : std::nullopt;
   }
-  auto held = entry->second.find(model);
-  if (held == entry->second.end())
+  const auto &models = entry->second.Models;
+  auto held = models.find(model);
+  if (held == models.end())
     return std::nullopt;
   if (adapter.empty())
     return held->second.ReadyAt;
@@ -134,6 +133,27 @@
   return it == EndpointsByModel.end() ? &none : &it->second;
 }
 
+bool FleetTable::isDraining(const std::string &endpoint) const {
+  auto it = Endpoints.find(endpoint);
+  return it != Endpoints.end() && it->second.Draining;
+}
+
+std::vector<std::string>
+FleetTable::differing(const Fleet::EndpointTable &endpoints) const {
+  std::vector<std::string> out;
+  for (const auto &[id, endpoint] : endpoints.all()) {
+    auto listed = Endpoints.find(id);
+    if (listed == Endpoints.end() ||
+        listed->second.StartedUnixMs != endpoint.Report.StartedUnixMs ||
+        listed->second.Draining == endpoint.isReady())
+      out.push_back(id);
+  }
+  for (const auto &[id, listed] : Endpoints)
+    if (!endpoints.find(id))
+      out.push_back(id);
+  return out;
+}
+
 std::vector<std::string>
 FleetTable::unlisted(const Fleet::EndpointTable &endpoints,
                      TimePoint asOf) const {
@@ -152,10 +172,10 @@
 void FleetTable::markNotReady(const std::string &endpoint,
                               const std::string &model,
                               const std::string &adapter, TimePoint until) {
-  auto held = Endpoints.find(endpoint);
-  if (held == Endpoints.end() || held->second.count(model) == 0)
+  auto listed = Endpoints.find(endpoint);
+  if (listed == Endpoints.end() || listed->second.Models.count(model) == 0)
     return;
-  HeldModel &entry = held->second[model];
+  HeldModel &entry = listed->second.Models[model];
   TimePoint &ready = adapter.empty() ? entry.ReadyAt : entry.Adapters[adapter];
   ready = std::max(ready, until);
 }
--- a/src/libs/gateway/fleettable.h
+++ b/src/libs/gateway/fleettable.h
@@ -39,13 +39,15 @@
   /// Endpoints that hold or load the model; null while the table is incomplete.
   const std::vector<std::string> *endpointsWith(const std::string &model) const;
   /// Whether the holder has sent that the endpoint accepts no new calls.
-  bool isDraining(const std::string &endpoint) const {
-    return Draining.count(endpoint) > 0;
-  }
+  bool isDraining(const std::string &endpoint) const;
   /// Endpoints that this gateway knows by reports from before `asOf`, and that
   /// the table does not list.
   std::vector<std::string> unlisted(const Fleet::EndpointTable &endpoints,
                                     TimePoint asOf) const;
+  /// Endpoints of which this gateway has read another state in the store, or
+  /// learned from their answers, than the table has.
+  std::vector<std::string>
+  differing(const Fleet::EndpointTable &endpoints) const;
   /// Treats the model or adapter as not ready at the endpoint until then,
   /// whatever the table says.
   void markNotReady(const std::string &endpoint, const std::string &model,
@@ -58,6 +60,13 @@
     std::map<std::string, TimePoint> Adapters;
   };
 
+  /// An endpoint as the table lists it.
+  struct ListedEndpoint {
+    std::map<std::string, HeldModel> Models;
+    int64_t StartedUnixMs = 0;
+    bool Draining = false;
+  };
+
   void reset(const FleetLink::Heartbeat &heartbeat,
              const Fleet::EndpointTable &endpoints);
   void applyEntry(const FleetLink::EndpointEntry &entry, TimePoint now);
@@ -68,8 +77,7 @@
   bool Complete = false;
   int64_t Token = 0;
   std::set<std::string> Unconfirmed;
-  std::map<std::string, std::map<std::string, HeldModel>> Endpoints;
-  std::set<std::string> Draining;
+  std::map<std::string, ListedEndpoint> Endpoints;
   std::map<std::string, std::vector<std::string>> EndpointsByModel;
 };
 
--- a/tests/auto/endpointlimits/limitfleet.cpp
+++ b/tests/auto/endpointlimits/limitfleet.cpp
@@ -36,7 +36,7 @@
         Now);
     Statements = {};
   }
-  void changeHolder() { electHolder(Members[0].takeoverState(Now).Levels); }
+  void changeHolder() { electHolder(Members[0].takeoverState({}, Now).Levels); }
 
   /// The endpoint names its limit in an answer to that gateway.
   void nameLimit(size_t gateway) {
--- a/tests/auto/takeover/tst_takeover.cpp
+++ b/tests/auto/takeover/tst_takeover.cpp
@@ -89,3 +89,20 @@
   CHECK(knownEndpoints() == 2);
   CHECK(callsTo(Endpoints.back()) > 0);
 }
+
+// review/4, DRAIN: the next holder had read an endpoint's new state between two
+// holders and passed it on to nobody.
+TEST_CASE_FIXTURE(TakeoverFixture,
+                  "state of an endpoint that the next holder read before it "
+                  "took the duty reaches a gateway that has not read it") {
+  Gateway::GatewaySettings next = makeSettings("next");
+  startOther("next", next);
+  startFollower();
+  StoreAnswers = false;
+  killOther("holder");
+  markDraining("i-2");
+  uint64_t endBefore = DutyEnd;
+  runUntil([&] { return DutyEnd > endBefore; });
+  awaitHeartbeats();
+  CHECK(callsTo(Endpoints.back()) == 0);
+}
