Answer every call of a planned stop before the process ends

A call whose head was half read, or that stood behind a stream that had begun before the stop, was read after new callers were turned away 2.5 s into the stop, and sent to an endpoint. At the end of the grace period the loop stopped with calls unanswered.

Cause: closing idle connections was the only thing that kept late calls out. A connection that was busy then stayed open, and whatever it brought later was accepted; calls knew nothing of the time at which the process ends.

Change: calls that arrive later than the balancer needs to drain the gateway are refused at once as not run, with the short Retry-After of a leaving gateway. The deadline of a call ends 200 ms before the process does, and calls without a final answer get one then: 503 if no attempt has begun, 504 otherwise; a stream is broken off. `explain` knows the new outcome `shutdown`.

--- a/src/libs/explain/gatewaycauses.cpp
+++ b/src/libs/explain/gatewaycauses.cpp
@@ -101,6 +101,13 @@
          outcome.field("candidates");
 }
 
+std::string shutdownCause(const Evidence & /*evidence*/,
+                          const LogLine &outcome) {
+  return "the gateway shut down " + msText(outcome, "ms") +
+         " after the call arrived, and endpoint " + outcome.field("endpoint") +
+         " was still processing it; it may have run";
+}
+
 std::string streamBrokenCause(const Evidence &evidence,
                               const LogLine &outcome) {
   if (outcome.field("outcome") == "deadline_in_stream")
@@ -172,7 +179,7 @@
 constexpr char EndpointsRest[] =
     "all endpoints that could run it had asked for a pause";
 constexpr char Leaving[] =
-    "it was waiting at a gateway that began to shut down, and was not sent";
+    "it arrived or was waiting at a gateway that shuts down, and was not run";
 
 struct CauseRow {
   std::string_view Outcome;
@@ -198,6 +205,7 @@
     {"endpoint_failed", endpointFailedCause},
     {"deadline", deadlineCause},
     {"deadline_in_stream", streamBrokenCause},
+    {"shutdown", shutdownCause},
     {"stream_broken", streamBrokenCause},
     {"caller_gone", callerGoneCause},
 };
--- a/src/libs/gateway/call.cpp
+++ b/src/libs/gateway/call.cpp
@@ -43,6 +43,7 @@
   if (!resolveRoute() || !authenticate() || refuseQuarantined())
     return;
   auto self = shared_from_this();
+  State.ActiveCalls[this] = self;
   Caller->OnDisconnect = [self] { self->onCallerDisconnected(); };
   DeadlineTimer.expires_at(Deadline);
   DeadlineTimer.async_wait([self](const std::error_code &ec) {
@@ -68,6 +69,10 @@
     return false;
   }
   Metadata = std::move(metadata.value());
+  if (ArrivedAt >= State.RefuseCallsFrom) {
+    refuse(Unavailable, "leaving", ShutdownRetryAfter);
+    return false;
+  }
   LastEventId = Metadata.LastEventId;
   for (const PromptPart &it : Metadata.Prompt)
     SharedParts.push_back(Utils::fastHash(it.Id));
@@ -89,6 +94,7 @@
   Deadline = ArrivedAt + Route->Timeout;
   if (Metadata.Timeout)
     Deadline = std::min(Deadline, ArrivedAt + *Metadata.Timeout);
+  Deadline = std::min(Deadline, State.EndCallsAt);
   Service = pickService(*Route, State.Random);
   return true;
 }
@@ -173,6 +179,7 @@
   if (Done)
     return;
   Done = true;
+  State.ActiveCalls.erase(this);
   cancelTokenRequest();
   if (RunsStarted == 0 && TokensTaken > 0)
     State.Coordination.member().refundTokens(Team->Name, TokensTaken);
@@ -236,6 +243,8 @@
 }
 
 void Call::onDeadline() {
+  if (Deadline >= State.EndCallsAt)
+    return endForShutdown();
   if (Connection) {
     Connection->cancel();
     endSend(Done ? Balance::AttemptResult::Cancelled
@@ -252,6 +261,22 @@
   refuse(GatewayTimeout, "deadline");
 }
 
+void Call::endForShutdown() {
+  if (Connection) {
+    Connection->cancel();
+    endSend(Balance::AttemptResult::Cancelled);
+  }
+  if (Done)
+    return;
+  if (AnswerStarted) {
+    Caller->abort();
+    return finish("shutdown", 0);
+  }
+  if (RunsStarted == 0)
+    return refuse(Unavailable, "leaving", ShutdownRetryAfter);
+  refuse(GatewayTimeout, "shutdown");
+}
+
 void Call::onCallerDisconnected() {
   if (Done)
     return;
--- a/src/libs/gateway/call.h
+++ b/src/libs/gateway/call.h
@@ -21,6 +21,8 @@
   bool retryDispatch();
   /// Refuses a queued call because the gateway shuts down.
   void refuseQueued();
+  /// Ends the call with a final answer, as the process is about to end.
+  void endForShutdown();
   /// The rate limit of the call's team, or of the endpoint chosen for it, has
   /// admitted or rejected it.
   void onAdmissionDecided(const Quota::Decision &decision);
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -55,6 +55,12 @@
   std::function<StoreReadProgress()> ReadProgress;
   std::function<void(const FleetLink::Heartbeat &, Utils::TimePoint)>
       OnHeartbeat;
+  /// Calls that have no final answer yet.
+  std::map<const Call *, std::weak_ptr<Call>> ActiveCalls;
+  /// Times of a planned stop, max() before one: calls that arrive later are
+  /// refused, and calls without a final answer get one.
+  Utils::TimePoint RefuseCallsFrom = Utils::TimePoint::max();
+  Utils::TimePoint EndCallsAt = Utils::TimePoint::max();
   /// Time at which the list of keys was last known to be complete.
   Utils::TimePoint KeysReadAt{};
   /// Until this time no key can have been revoked unnoticed.
@@ -63,6 +69,8 @@
   Balance::RetryBudget &retryBudget(const std::string &service);
   /// Applies the status that an endpoint reported in a response.
   void applyNotice(const std::string &endpoint, const EndpointNotice &notice);
+  /// Ends all calls that have no final answer yet, for a planned stop.
+  void endActiveCalls();
 
 private:
   Balance::RetryBudget::Policy retryPolicy() const;
@@ -110,7 +118,6 @@
   HttpIo::Timer ShutdownTimer;
   bool ShuttingDown = false;
   Utils::TimePoint ShutdownDeadline;
-  Utils::TimePoint CloseIdleAt;
 };
 
 } // namespace Gateway
--- a/src/libs/gateway/gatewayconstants.h
+++ b/src/libs/gateway/gatewayconstants.h
@@ -57,7 +57,10 @@
 constexpr milliseconds BalancerDrainTime{2500};
 /// Subtracted from the time until the kill, for the exit of the process.
 constexpr milliseconds ShutdownMargin{300};
-/// Retry-After of calls that are queued at a gateway that shuts down; the retry
+/// Time before the exit of a process that shuts down at which calls without a
+/// final answer get one, for their callers to receive it.
+constexpr milliseconds FinalAnswerTime{200};
+/// Retry-After of calls that a gateway refuses as it shuts down; the retry
 /// reaches another gateway.
 constexpr milliseconds ShutdownRetryAfter{20};
 
--- a/src/libs/gateway/process.cpp
+++ b/src/libs/gateway/process.cpp
@@ -4,6 +4,7 @@
 #include "gateway/gatewayconstants.h"
 #include "utils/utils.h"
 
+#include <algorithm>
 #include <csignal>
 
 namespace Gateway {
@@ -87,6 +88,12 @@
       .info();
 }
 
+void GatewayState::endActiveCalls() {
+  for (const auto &[call, it] : std::exchange(ActiveCalls, {}))
+    if (auto active = it.lock())
+      active->endForShutdown();
+}
+
 Process::Process(asio::io_context &loop, GatewaySettings settings,
                  PlatformClients clients)
     : Loop(loop), State(loop, std::move(settings), std::move(clients)),
@@ -349,19 +356,23 @@
   State.Coordination.leave();
   Utils::TimePoint now = Utils::BootClock::now();
   ShutdownDeadline = now + State.Settings.StopGrace - ShutdownMargin;
-  CloseIdleAt = now + BalancerDrainTime;
+  State.EndCallsAt = ShutdownDeadline - FinalAnswerTime;
+  State.RefuseCallsFrom = std::min(now + BalancerDrainTime, State.EndCallsAt);
   continueShutdown();
 }
 
 void Process::continueShutdown() {
   Utils::TimePoint now = Utils::BootClock::now();
-  if (now >= CloseIdleAt) {
+  if (now >= State.RefuseCallsFrom) {
     // New callers would have too little time left for their answers.
     CallerListener.stopAccepting();
     CallerListener.closeIdle();
     State.PendingDispatch.refuseAll();
   }
-  bool done = now >= CloseIdleAt && CallerListener.connectionCount() == 0;
+  if (now >= State.EndCallsAt)
+    State.endActiveCalls();
+  bool done =
+      now >= State.RefuseCallsFrom && CallerListener.connectionCount() == 0;
   if (done || now >= ShutdownDeadline) {
     Utils::Event("stopped")
         .with("open_connections", CallerListener.connectionCount())
--- a/tests/auto/gateway/gatewayfixture.cpp
+++ b/tests/auto/gateway/gatewayfixture.cpp
@@ -60,6 +60,12 @@
     }
 }
 
+void ScriptedEndpoint::sendToAll(const std::string &text) {
+  for (const std::weak_ptr<Peer> &it : Peers)
+    if (auto peer = it.lock(); peer && peer->Socket.is_open())
+      asio::write(peer->Socket, asio::buffer(text));
+}
+
 void ScriptedEndpoint::crash() {
   ++Crashes;
   Acceptor.close();
--- a/tests/auto/gateway/gatewayfixture.h
+++ b/tests/auto/gateway/gatewayfixture.h
@@ -39,6 +39,8 @@
   std::vector<Http::Request> Requests;
   /// Resets all its connections.
   void resetAll();
+  /// Sends the text on all its open connections.
+  void sendToAll(const std::string &text);
   /// If not empty: a request whose headers contain this text crashes the
   /// endpoint before it answers.
   std::string CrashingText;
