Apply what a heartbeat says of endpoints however old the report it answers

Callers could see: calls to an endpoint that drains or has gone, for as long as it answers (DRAIN).

A gateway remembers when it sent its newest 32 reports, since the ages in an answer count from then. An answer to an older one was applied to the table of models, which the next report confirms to the holder, but not to the view of the endpoints, so that the holder never sent the change again. Reports follow each other within 10 ms while calls wait, so that a holder which is 0.3 s late is enough.

Evidence: fourth case of tst_takeover, red on the code before: 9 of 20 calls reach the endpoint whose draining state the answer to the 40th last report named.

Change: the entries are always applied. Only what needs the time of the report, the reliance on the holder's reads of the store, is left out.

After: tst_takeover 4 of 4, tst_gateway 64 of 64.

--- a/src/libs/gateway/fleetagent.cpp
+++ b/src/libs/gateway/fleetagent.cpp
@@ -29,7 +29,8 @@
 /// its capacity.
 constexpr int HandoverStrengthRatio = 2;
 /// Recent reports whose send times are kept. The ages in a heartbeat that
-/// answers an older report are not used, as their start is unknown.
+/// answers an older report are not used, as their start is unknown; the rest of
+/// it is.
 constexpr size_t MaxRememberedReports = 32;
 /// Interval at which calls that wait for tokens are checked, and timeout after
 /// which a grant request is taken as lost; answers take 2 to 6 ms.
@@ -185,14 +186,15 @@
   if (heartbeat.StoreCallFailed)
     Duty.probe();
   Duty.setClaimDelay(claimDelay(Strength, heartbeat.MaxStrength));
-  auto reportTime = ReportTimes.find(heartbeat.Sequence);
-  if (!Self.apply(heartbeat, Ctx.FleetView.endpoints(), now) ||
-      reportTime == ReportTimes.end())
+  if (!Self.apply(heartbeat, Ctx.FleetView.endpoints(), now))
     return;
+  std::optional<Utils::TimePoint> reportedAt;
+  if (auto it = ReportTimes.find(heartbeat.Sequence); it != ReportTimes.end())
+    reportedAt = it->second;
   recordStamp(heartbeat);
   Ctx.OnDecisions(Self.takeDecisions());
   Duty.setMembers(heartbeat.Members);
-  Ctx.OnHeartbeat(heartbeat, reportTime->second);
+  Ctx.OnHeartbeat(heartbeat, reportedAt);
   if (!Self.hasCompleteTable())
     reportWithin(std::max(MinReportSpacing,
                           TablePartIntervalPerMember * Self.members()));
--- a/src/libs/gateway/fleetagent.h
+++ b/src/libs/gateway/fleetagent.h
@@ -29,9 +29,9 @@
     std::function<void()> OnSmallFleet;
     std::function<StoreReadProgress()> ReadProgress;
     /// A heartbeat answered the report sent at `reportedAt`, from which the
-    /// ages in it count.
+    /// ages in it count; nothing if that report is no longer remembered.
     std::function<void(const FleetLink::Heartbeat &,
-                       Utils::TimePoint reportedAt)>
+                       std::optional<Utils::TimePoint> reportedAt)>
         OnHeartbeat;
     /// Calls that waited for tokens were admitted or refused.
     std::function<void(const std::vector<Quota::Decision> &)> OnDecisions;
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -53,7 +53,8 @@
   std::function<void()> OnDutyTaken;
   std::function<void()> OnSmallFleet;
   std::function<StoreReadProgress()> ReadProgress;
-  std::function<void(const FleetLink::Heartbeat &, Utils::TimePoint)>
+  std::function<void(const FleetLink::Heartbeat &,
+                     std::optional<Utils::TimePoint> reportedAt)>
       OnHeartbeat;
   /// Calls that have no final answer yet.
   std::map<const Call *, std::weak_ptr<Call>> ActiveCalls;
@@ -94,7 +95,9 @@
   void onReadinessRequest(const HttpIo::ServerConnectionRef &caller);
   void onMetricsRequest(const HttpIo::ServerConnectionRef &caller);
   void onHeartbeat(const FleetLink::Heartbeat &heartbeat,
-                   Utils::TimePoint reportedAt);
+                   std::optional<Utils::TimePoint> reportedAt);
+  void noteHolderReads(const FleetLink::Heartbeat &heartbeat,
+                       Utils::TimePoint reportedAt);
   void applyEntries(const FleetLink::Heartbeat &heartbeat);
   void removeUnlisted(Utils::TimePoint asOf);
   void applyLimits();
--- a/src/libs/gateway/process.cpp
+++ b/src/libs/gateway/process.cpp
@@ -248,23 +248,30 @@
 } // namespace
 
 void Process::onHeartbeat(const FleetLink::Heartbeat &heartbeat,
-                          Utils::TimePoint reportedAt) {
+                          std::optional<Utils::TimePoint> reportedAt) {
   if (!State.Coordination.isHolder()) {
     applyEntries(heartbeat);
-    ConfigurationFeed.noteHolderOffset(
-        heartbeat.OperatorsNext,
-        reportedAt - milliseconds(heartbeat.OperatorsAgeMs), reportedAt);
-    Utils::TimePoint asOf = reportedAt - milliseconds(heartbeat.EndpointsAgeMs);
-    if (State.Coordination.member().hasCompleteTable()) {
-      if (asOf + MaxRelayedAge >= reportedAt)
-        removeUnlisted(asOf);
-      EndpointFeed.noteHolderSnapshot(asOf, reportedAt);
-    } else
-      EndpointFeed.awaitHolderSnapshot(asOf, reportedAt);
+    if (reportedAt)
+      noteHolderReads(heartbeat, *reportedAt);
   }
   State.PendingDispatch.retry();
 }
 
+/// Relies on the holder's reads of the store, as far as they are recent, in
+/// place of reads by this gateway.
+void Process::noteHolderReads(const FleetLink::Heartbeat &heartbeat,
+                              Utils::TimePoint reportedAt) {
+  ConfigurationFeed.noteHolderOffset(
+      heartbeat.OperatorsNext,
+      reportedAt - milliseconds(heartbeat.OperatorsAgeMs), reportedAt);
+  Utils::TimePoint asOf = reportedAt - milliseconds(heartbeat.EndpointsAgeMs);
+  if (!State.Coordination.member().hasCompleteTable())
+    return EndpointFeed.awaitHolderSnapshot(asOf, reportedAt);
+  if (asOf + MaxRelayedAge >= reportedAt)
+    removeUnlisted(asOf);
+  EndpointFeed.noteHolderSnapshot(asOf, reportedAt);
+}
+
 void Process::applyEntries(const FleetLink::Heartbeat &heartbeat) {
   Utils::TimePoint now = Utils::BootClock::now();
   for (const FleetLink::EndpointEntry &it : heartbeat.Entries)
