--- a/src/libs/gateway/call.cpp
+++ b/src/libs/gateway/call.cpp
@@ -245,36 +245,32 @@
 void Call::onDeadline() {
   if (Deadline >= State.EndCallsAt)
     return endForShutdown();
-  if (Connection) {
-    Connection->cancel();
-    endSend(Done ? Balance::AttemptResult::Cancelled
-                 : Balance::AttemptResult::TimedOut);
-  }
-  if (Done)
-    return;
-  if (AnswerStarted) {
-    Caller->abort();
-    return finish("deadline_in_stream", 0);
-  }
-  if (RunsStarted == 0)
-    return refuse(Unavailable, "deadline_unsent", DefaultRetryAfter);
-  refuse(GatewayTimeout, "deadline");
+  endUnanswered({"deadline_in_stream", "deadline_unsent", "deadline"},
+                Balance::AttemptResult::TimedOut, DefaultRetryAfter);
 }
 
 void Call::endForShutdown() {
+  endUnanswered({"shutdown", "leaving", "shutdown"},
+                Balance::AttemptResult::Cancelled, ShutdownRetryAfter);
+}
+
+/// Ends the attempt in flight, and the call by the outcome for its progress.
+void Call::endUnanswered(const EndOutcomes &outcomes,
+                         Balance::AttemptResult attempt,
+                         Utils::Milliseconds retryAfter) {
   if (Connection) {
     Connection->cancel();
-    endSend(Balance::AttemptResult::Cancelled);
+    endSend(Done ? Balance::AttemptResult::Cancelled : attempt);
   }
   if (Done)
     return;
   if (AnswerStarted) {
     Caller->abort();
-    return finish("shutdown", 0);
+    return finish(outcomes.InStream, 0);
   }
   if (RunsStarted == 0)
-    return refuse(Unavailable, "leaving", ShutdownRetryAfter);
-  refuse(GatewayTimeout, "shutdown");
+    return refuse(Unavailable, outcomes.NotRun, retryAfter);
+  refuse(GatewayTimeout, outcomes.Unanswered);
 }
 
 void Call::onCallerDisconnected() {
--- a/src/libs/gateway/call.h
+++ b/src/libs/gateway/call.h
@@ -90,6 +90,16 @@
   void endBetweenSends(std::string_view reason,
                        std::optional<Utils::Milliseconds> retryAfter);
   void onDeadline();
+  /// Outcomes of a call that ends without an endpoint's answer, by how far it
+  /// has come.
+  struct EndOutcomes {
+    std::string_view InStream;
+    std::string_view NotRun;
+    std::string_view Unanswered;
+  };
+  void endUnanswered(const EndOutcomes &outcomes,
+                     Balance::AttemptResult attempt,
+                     Utils::Milliseconds retryAfter);
   void onCallerDisconnected();
   void endSend(Balance::AttemptResult end);
   void refuse(unsigned status, std::string_view reason,
