--- a/tests/auto/takeover/tst_takeover.cpp
+++ b/tests/auto/takeover/tst_takeover.cpp
@@ -91,7 +91,7 @@
   }
   static std::string addressOf(const asio::ip::udp::socket &socket) {
     auto local = socket.local_endpoint();
-    return local.address().to_string() + ":" + std::to_string(local.port());
+    return textOf({local.address(), local.port()});
   }
   void receive() {
     Socket.async_receive(asio::buffer(Buffer), [this](const std::error_code &ec,
