Follow the store through random ends and starts of other gateways, by seed

Three gateways of one fleet; entries drain and go, the holder is killed and back at once or later, the store fails one gateway at times. In the end the gateway that ran on knows the store's entries and calls only what is ready.

--- a/tests/auto/takeover/tst_takeover.cpp
+++ b/tests/auto/takeover/tst_takeover.cpp
@@ -3,8 +3,10 @@
 #include "codec/codec.h"
 #include "duty/serialize.h"
 
+#include <algorithm>
 #include <asio/ip/udp.hpp>
 #include <doctest/doctest.h>
+#include <random>
 
 using namespace std::chrono_literals;
 
@@ -19,6 +21,9 @@
         return Script{answer(200, "ok")};
       };
   }
+  size_t knownEndpoints() {
+    return size_t(metric("hickory_gateway_endpoints"));
+  }
   double metric(const std::string &name) {
     std::string text = metrics();
     size_t at = text.find("\n" + name + " ");
@@ -62,13 +67,94 @@
       before = age;
     }
   }
-  size_t knownEndpoints() {
-    return size_t(metric("hickory_gateway_endpoints"));
-  }
 
   Gateway::GatewaySettings HolderSettings;
 };
 
+/// Three gateways of which two are killed and started again at random, while
+/// entries of the store drain and go. The store fails the third one at times.
+struct RandomTakeoverFixture : FollowerFixture {
+  void run(uint64_t seed) {
+    Random.seed(seed);
+    for (int i = 0; i < 6; ++i)
+      addEndpoint("s").Respond = Endpoints.front().Respond;
+    for (const char *name : {"a", "b"})
+      VmSettings.emplace(name, makeSettings(name));
+    for (const auto &[name, settings] : VmSettings)
+      startOther(name, settings);
+    runUntil([&] { return DutyRecord.has_value(); });
+    start();
+    constexpr int steps = 12;
+    for (int i = 0; i < steps; ++i) {
+      step();
+      waitUpTo(400ms);
+    }
+    StoreAnswers = true;
+    for (const auto &[name, settings] : VmSettings)
+      if (Others.count(name) == 0)
+        startOther(name, settings);
+  }
+  void step() {
+    std::string name = Random() % 2 == 0 ? "a" : "b";
+    switch (Random() % 5) {
+    case 0:
+      StoreAnswers = !StoreAnswers;
+      return;
+    case 1:
+      return removeEntry(randomEntry());
+    case 2:
+      return markDraining(randomEntry());
+    case 3: // Back at once, as a rule.
+      if (Others.count(name) > 0)
+        killOther(name);
+      if (Random() % 4 == 0)
+        return;
+      startOther(name, VmSettings.at(name));
+      return;
+    default:
+      if (Others.count(name) == 0)
+        startOther(name, VmSettings.at(name));
+    }
+  }
+  void waitUpTo(std::chrono::milliseconds most) {
+    auto until = Utils::BootClock::now() +
+                 std::chrono::milliseconds(Random() % most.count());
+    runUntil([&] { return Utils::BootClock::now() >= until; });
+  }
+  /// Any entry but the first.
+  std::string randomEntry() {
+    return Reports.size() < 2 ? "none"
+                              : Reports[1 + Random() % (Reports.size() - 1)].Id;
+  }
+  /// Whether the gateway knows the entries of the store and no others, and
+  /// sends calls to those that are ready only.
+  bool followsStore() {
+    return knownEndpoints() == Reports.size() && callsReachReadyOnly();
+  }
+  bool callsReachReadyOnly() {
+    std::vector<size_t> before;
+    for (const ScriptedEndpoint &it : Endpoints)
+      before.push_back(it.Requests.size());
+    constexpr int calls = 40;
+    for (int i = 0; i < calls; ++i)
+      CHECK(statusOf(call("/unsafe/")) == 200);
+    size_t i = 0;
+    return std::all_of(Endpoints.begin(), Endpoints.end(),
+                       [&](const ScriptedEndpoint &it) {
+                         size_t n = it.Requests.size() - before[i++];
+                         return n == 0 || isReady("i-" + std::to_string(i));
+                       });
+  }
+  bool isReady(const std::string &id) const {
+    return std::any_of(Reports.begin(), Reports.end(), [&](const auto &it) {
+      return it.Id == id && it.State == Fleet::EndpointState::Ready;
+    });
+  }
+
+  std::map<std::string, Gateway::GatewaySettings> VmSettings;
+  std::mt19937_64 Random;
+};
+
 /// A gateway that follows a holder which the test plays.
 struct ScriptedHolderFixture : FollowerFixture {
   ScriptedHolderFixture() {
@@ -202,3 +288,15 @@
   runUntil([&] { return metric("hickory_gateway_members") == 3; });
   CHECK(callsTo(Endpoints.back()) == 0);
 }
+
+TEST_CASE("gateway follows the store after random ends and starts of the "
+          "others while entries change") {
+  constexpr uint64_t seeds = 4;
+  for (uint64_t seed = 1; seed <= seeds; ++seed) {
+    CAPTURE(seed);
+    RandomTakeoverFixture fixture;
+    fixture.run(seed);
+    fixture.runUntil([&] { return fixture.followsStore(); });
+    CHECK(fixture.callsReachReadyOnly());
+  }
+}
