Format the simulation of the fleet's limits

Cause: an argument that was added by a script made a line of limitsfleet.cpp longer than the formatter allows.

Change: the formatter's line break, nothing else.

--- a/tests/auto/fleetlimits/limitsfleet.cpp
+++ b/tests/auto/fleetlimits/limitsfleet.cpp
@@ -101,7 +101,8 @@
   ++Token;
   ElectionAt = TimePoint::max();
   Gateway::FleetLimiter::InitialState start{
-      Nodes[Holder].Self->takeoverState({}, Now).Levels, RecordedLevels, Token == 1,
+      Nodes[Holder].Self->takeoverState({}, Now).Levels, RecordedLevels,
+      Token == 1,
       Nodes[Holder].Self->members() > 0 ? Nodes[Holder].Self->members()
                                         : uint32_t(Nodes.size()),
       Settings.Slack * OverdraftShare};
