Show that a call of a planned stop is sent on with the time that is left

Found by reading the change again: docs/promises.md promised that deadlines end before the process does, and no test failed without it, since every call gets its final answer anyway.

Change: fourth case of tst_plannedstop.

--- a/tests/auto/plannedstop/tst_plannedstop.cpp
+++ b/tests/auto/plannedstop/tst_plannedstop.cpp
@@ -94,6 +94,20 @@
   CHECK(arrivals() == 1);
 }
 
+TEST_CASE_FIXTURE(ShortStopFixture,
+                  "call that arrives during the stop is sent on with no more "
+                  "time than the process has left") {
+  Process->shutDown();
+  call("/unsafe/", "Content-Length: 0\r\n", "POST");
+  runUntil([&] { return arrivals() == 1; });
+  const ScriptedEndpoint &reached =
+      Endpoints.front().Requests.empty() ? Endpoints.back() : Endpoints.front();
+  const std::string *left =
+      reached.Requests.front().Headers.find("Deadline-Milliseconds");
+  REQUIRE(left);
+  CHECK(std::stoll(*left) <= Settings.StopGrace.count());
+}
+
 TEST_CASE_FIXTURE(ShortStopFixture,
                   "call that is still at work when the grace period ends gets "
                   "an answer that does not say it was not run") {
