--- a/tests/auto/explain/tst_explain.cpp
+++ b/tests/auto/explain/tst_explain.cpp
@@ -274,6 +274,21 @@
   checkCauseContains("r", "come back in 300000 ms");
 }
 
+TEST_CASE_FIXTURE(GatewayLogs,
+                  "explanation of a call that a planned stop ended "
+                  "says whether it may have run") {
+  SUBCASE("unanswered") {
+    add("g1", ended("shutdown", 504));
+    checkCauseContains("r", "endpoint i-1 was still processing it");
+    checkCauseContains("r", "may have run");
+  }
+  SUBCASE("refused") {
+    add("g1", ended("leaving", 503).with("retry_after_ms", 20));
+    checkCauseContains("r", "was not run");
+    checkCauseContains("r", "come back in 20 ms");
+  }
+}
+
 TEST_CASE_FIXTURE(GatewayLogs, "explanation of a call that waited past its "
                                "deadline names the load that another gateway "
                                "abandoned") {
