Add the state of evacuations of failure domains

Operators can ask that nothing more be sent to a failure domain. A gateway needs to know from when on no call may reach the domain, without counting from the receipt of the request, which may be later than its acknowledgement.

--- a/src/libs/fleet/fleet.h
+++ b/src/libs/fleet/fleet.h
@@ -5,5 +5,6 @@
 /// configuration and of the registered endpoints. Performs no I/O.
 #include "fleet/configuration.h"
 #include "fleet/endpoints.h"
+#include "fleet/evacuations.h"
 
 #endif // FLEET_FLEET_H
