Send nothing to evacuated failure domains

The operators' topic may hold evacuate/DOMAIN. A gateway knows from its last complete read until when the record was not there, and uses the endpoints of the domain behind all others until the bound less a margin has passed, and not at all after that. Calls that only closed endpoints could run are refused at once as domain_evacuated. The holder of the duty gives engines of the domain no orders and does not count what they hold; models that are called and that only they hold are loaded elsewhere, the most called first.

--- a/src/libs/balance/choose.cpp
+++ b/src/libs/balance/choose.cpp
@@ -19,7 +19,8 @@
 
 /// Endpoints of the lowest rank are used first, whatever their load.
 int rank(const Candidate &candidate) {
-  return (candidate.Tried ? 2 : 0) + (candidate.Avoided ? 1 : 0);
+  return (candidate.Evacuating ? 4 : 0) + (candidate.Tried ? 2 : 0) +
+         (candidate.Avoided ? 1 : 0);
 }
 
 } // namespace
--- a/src/libs/balance/choose.h
+++ b/src/libs/balance/choose.h
@@ -25,13 +25,15 @@
   /// The endpoint accepts no calls from this VM before this time, or its limit
   /// allows none.
   TimePoint CoolDownUntil{};
+  /// The failure domain of the endpoint is being evacuated.
+  bool Evacuating = false;
 };
 
 /// Returns the index of the candidate that gets the call; nothing if there is
 /// none. Takes the less loaded of two random candidates (Mitzenmacher, "The
-/// Power of Two Choices", 2001). Endpoints that failed recently or were tried
-/// before are used only if there are no others, and endpoints in cool-down
-/// never.
+/// Power of Two Choices", 2001). Endpoints that failed recently, were tried
+/// before or are being evacuated are used only if there are no others, and
+/// endpoints in cool-down never.
 std::optional<size_t> choose(const std::vector<Candidate> &candidates,
                              TimePoint now, std::mt19937_64 &random);
 
--- a/src/libs/gateway/call.h
+++ b/src/libs/gateway/call.h
@@ -50,6 +50,9 @@
   std::optional<std::string> pickEndpoint();
   std::vector<const Fleet::Endpoint *> eligibleEndpoints() const;
   bool isEligible(const Fleet::Endpoint &endpoint) const;
+  /// Whether all ready endpoints of the service are in failure domains that
+  /// take no calls.
+  bool isServiceEvacuated() const;
   /// Sends the call to the endpoint if its limit allows it now. Returns false
   /// if it does not.
   bool sendWithinLimit(const std::string &endpoint);
--- a/src/libs/gateway/callsend.cpp
+++ b/src/libs/gateway/callsend.cpp
@@ -67,7 +67,8 @@
 
 bool Call::isEligible(const Fleet::Endpoint &endpoint) const {
   const Fleet::EndpointReport &report = endpoint.Report;
-  if (report.Service != Service || !endpoint.isReady())
+  if (report.Service != Service || !endpoint.isReady() ||
+      State.FleetView.evacuations().isClosed(report.FailureDomain, SentAt))
     return false;
   if (Metadata.Model.empty())
     return true;
@@ -110,7 +111,9 @@
          it->Report.Slots, health.AvoidUntil > SentAt,
          it->Report.FailureDomain == State.Settings.FailureDomain,
          TriedEndpoints.count(it->Report.Id) > 0,
-         std::max(health.CoolDownUntil, health.OverLimitUntil)});
+         std::max(health.CoolDownUntil, health.OverLimitUntil),
+         State.FleetView.evacuations().isInGracePeriod(it->Report.FailureDomain,
+                                                       SentAt)});
   }
   BackoffEnd = Balance::earliestCoolDownEnd(candidates, SentAt);
   auto chosen = Balance::choose(candidates, SentAt, State.Random);
@@ -152,7 +155,25 @@
   while (auto id = pickEndpoint())
     if (sendWithinLimit(*id))
       return true;
-  return false;
+  if (!isServiceEvacuated())
+    return false;
+  endBetweenSends("domain_evacuated", DefaultRetryAfter);
+  return true;
+}
+
+bool Call::isServiceEvacuated() const {
+  const Fleet::Evacuations &evacuations = State.FleetView.evacuations();
+  if (evacuations.empty())
+    return false;
+  bool hasClosed = false;
+  for (const auto &[id, endpoint] : State.FleetView.endpoints().all()) {
+    if (endpoint.Report.Service != Service || !endpoint.isReady())
+      continue;
+    if (!evacuations.isClosed(endpoint.Report.FailureDomain, SentAt))
+      return false;
+    hasClosed = true;
+  }
+  return hasClosed;
 }
 
 void Call::startSending(const std::string &endpoint) {
--- a/src/libs/gateway/fleetagent.cpp
+++ b/src/libs/gateway/fleetagent.cpp
@@ -366,6 +366,11 @@
     Holder->onConfiguration();
 }
 
+void FleetAgent::onEvacuations() {
+  if (Holder)
+    Holder->onEvacuations();
+}
+
 void FleetAgent::leave() {
   Leaving = true;
   Duty.release();
--- a/src/libs/gateway/fleetagent.h
+++ b/src/libs/gateway/fleetagent.h
@@ -56,6 +56,8 @@
   /// All endpoints' records before offset `next` have been read from the store.
   void onAllEndpointsRead(uint64_t next);
   void onConfiguration();
+  /// An evacuation was requested or withdrawn.
+  void onEvacuations();
   /// A call to the store was answered or has failed.
   void noteStoreCall(bool answered);
   /// Gives up the duty and reports that this gateway leaves the fleet.
--- a/src/libs/gateway/fleetholder.cpp
+++ b/src/libs/gateway/fleetholder.cpp
@@ -158,6 +158,15 @@
   broadcast();
 }
 
+void FleetHolder::onEvacuations() {
+  const Fleet::Evacuations &evacuations = Ctx.FleetView.evacuations();
+  for (const auto &[id, replica] : Replicas)
+    if (replica.Evacuated != evacuations.isEvacuated(replica.FailureDomain))
+      if (const Fleet::Endpoint *it = Ctx.FleetView.endpoints().find(id))
+        updateEndpoint(*it);
+  schedulePlanAfter(milliseconds(0));
+}
+
 // Gateways.
 
 void FleetHolder::handleReport(const FleetLink::Report &report) {
--- a/src/libs/gateway/fleetholder.h
+++ b/src/libs/gateway/fleetholder.h
@@ -83,6 +83,8 @@
   /// All endpoints' records before offset `next` have been read from the store.
   void onAllEndpointsRead(uint64_t next);
   void onConfiguration();
+  /// An evacuation was requested or withdrawn.
+  void onEvacuations();
   /// Levels of the teams' buckets for the next holder, as written to the duty's
   /// record.
   std::string notes();
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -101,6 +101,8 @@
   void applyEntries(const FleetLink::Heartbeat &heartbeat);
   void removeUnlisted(Utils::TimePoint asOf);
   void applyLimits();
+  /// Logs the evacuations in force, now and when more of them are.
+  void watchEvacuations();
   void runHousekeeping();
   void awaitSignals();
   void continueShutdown();
@@ -119,6 +121,7 @@
   asio::signal_set Signals;
   HttpIo::Timer HousekeepingTimer;
   HttpIo::Timer ShutdownTimer;
+  HttpIo::Timer EvacuationTimer;
   bool ShuttingDown = false;
   Utils::TimePoint ShutdownDeadline;
 };
--- a/src/libs/gateway/gatewaysettings.h
+++ b/src/libs/gateway/gatewaysettings.h
@@ -4,6 +4,8 @@
 #include "utils/clock.h"
 
 #include <cstdint>
+#include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -64,6 +66,11 @@
   double LoadOvershoot = 1;
   /// Interval between reports of an endpoint.
   Milliseconds ReportInterval{1200};
+  /// Time from the acknowledgement of an evacuation until no call may reach the
+  /// failure domain; without it an evacuation is in force at once.
+  std::optional<Milliseconds> EvacuationBound;
+  /// Region of each failure domain; empty in deployments of one region.
+  std::map<std::string, std::string> RegionOfDomain;
 };
 
 } // namespace Gateway
--- a/src/libs/gateway/holderengines.cpp
+++ b/src/libs/gateway/holderengines.cpp
@@ -91,7 +91,11 @@
         onEngineReport(id, report);
       },
       [this](const auto &id) { onEngineLost(id); }, [this] { Ctx.OnFenced(); },
-      [this](const auto &id) { onEngineIdle(id); }});
+      [this](const auto &id) { onEngineIdle(id); },
+      [this](const auto &id) {
+        auto it = Replicas.find(id);
+        return it != Replicas.end() && it->second.Evacuated;
+      }});
 }
 
 std::shared_ptr<OrderRunner> FleetHolder::runnerFor(const std::string &id) {
@@ -126,12 +130,14 @@
   replica.Id = report.Id;
   replica.Service = report.Service;
   replica.FailureDomain = report.FailureDomain;
-  replica.Usable = endpoint.isReady();
+  replica.Evacuated =
+      Ctx.FleetView.evacuations().isEvacuated(report.FailureDomain);
+  replica.Usable = endpoint.isReady() && !replica.Evacuated;
   auto engineRunner = runnerFor(report.Id);
   if (replica.StartedUnixMs != report.StartedUnixMs)
     replica.Confirmed = false;
   replica.StartedUnixMs = report.StartedUnixMs;
-  if (!replica.Usable)
+  if (!endpoint.isReady())
     return;
   Utils::TimePoint now = Utils::BootClock::now();
   if (!replica.Confirmed) {
--- a/src/libs/gateway/orderrunner.cpp
+++ b/src/libs/gateway/orderrunner.cpp
@@ -104,6 +104,8 @@
   auto token = Ctx->FencingToken();
   if (!token)
     return dropTask("no_duty");
+  if (Ctx->IsEvacuated(Id))
+    return dropTask("domain_evacuated");
   if (!Ctx->HasRoomFor(Id, order))
     return dropTask("no_room");
   InProgress = true;
--- a/src/libs/gateway/orderrunner.h
+++ b/src/libs/gateway/orderrunner.h
@@ -47,6 +47,8 @@
     std::function<void()> OnFenced;
     /// The task queue has become empty.
     std::function<void(const std::string &id)> OnIdle;
+    /// Whether the engine's failure domain is being evacuated.
+    std::function<bool(const std::string &id)> IsEvacuated;
   };
 
   OrderRunner(std::shared_ptr<const Context> context, std::string id);
--- a/src/libs/gateway/process.cpp
+++ b/src/libs/gateway/process.cpp
@@ -33,7 +33,8 @@
 GatewayState::GatewayState(asio::io_context &loop, GatewaySettings settings,
                            PlatformClients clients)
     : Loop(loop), Settings(std::move(settings)), Clients(std::move(clients)),
-      Connections(loop), FleetView(Clients.PlatformStore),
+      Connections(loop),
+      FleetView(Clients.PlatformStore, Settings.EvacuationBound),
       PendingDispatch(loop),
       Coordination({loop, Settings, FleetView, HealthTracker,
                     Clients.PlatformStore, Clients.Engines,
@@ -103,17 +104,21 @@
       CallerListener(loop, CallerPolicy),
       ReadinessListener(loop, ReadinessPolicy),
       MetricsListener(loop, MetricsPolicy),
-      ConfigurationFeed(loop, State.Clients.PlatformStore,
-                        {Topic::Operators,
-                         [this] {
-                           return State.Coordination.isHolder()
-                                      ? HolderPollTimeout
-                                      : ConfigurationPollTimeout;
-                         },
-                         {}},
-                        [this](const auto &records, bool) {
-                          State.FleetView.applyOperators(records);
-                        }),
+      ConfigurationFeed(
+          loop, State.Clients.PlatformStore,
+          {Topic::Operators,
+           [this] {
+             return State.Coordination.isHolder() ? HolderPollTimeout
+                                                  : ConfigurationPollTimeout;
+           },
+           {}},
+          [this](const auto &records, bool isSnapshot) {
+            State.FleetView.applyOperators(
+                records,
+                isSnapshot ? std::nullopt
+                           : std::optional(ConfigurationFeed.completeBefore()),
+                Utils::BootClock::now());
+          }),
       EndpointFeed(loop, State.Clients.PlatformStore,
                    {Topic::Endpoints, [] { return milliseconds(0); },
                     EndpointPollInterval},
@@ -125,7 +130,7 @@
                            EndpointFeed.next());
                    }),
       Signals(loop, SIGTERM, SIGINT), HousekeepingTimer(loop),
-      ShutdownTimer(loop) {
+      ShutdownTimer(loop), EvacuationTimer(loop) {
   auto noteStoreCall = [this](bool answered) {
     State.Coordination.noteStoreCall(answered);
   };
@@ -153,6 +158,10 @@
     applyLimits();
     State.Coordination.onConfiguration();
   };
+  State.FleetView.OnEvacuations = [this] {
+    watchEvacuations();
+    State.Coordination.onEvacuations();
+  };
   State.FleetView.OnEndpoint = [this](const std::string &id) {
     if (!State.FleetView.endpoints().find(id))
       State.HealthTracker.remove(id, Utils::BootClock::now());
@@ -222,6 +231,19 @@
   CallerPolicy->IdleTimeout = limits.IdleTimeout;
 }
 
+void Process::watchEvacuations() {
+  State.FleetView.logEvacuationsInForce(Utils::BootClock::now());
+  EvacuationTimer.cancel();
+  auto next = State.FleetView.evacuations().nextInForceAt();
+  if (!next)
+    return;
+  EvacuationTimer.expires_at(*next);
+  EvacuationTimer.async_wait([this](const std::error_code &ec) {
+    if (!ec)
+      watchEvacuations();
+  });
+}
+
 namespace {
 
 Fleet::EndpointReport toEndpointReport(const FleetLink::EndpointEntry &entry) {
@@ -324,6 +346,8 @@
                    .count());
   registry.set("hickory_gateway_endpoints",
                double(State.FleetView.endpoints().all().size()));
+  registry.set("hickory_gateway_evacuated_domains",
+               double(State.FleetView.evacuations().all().size()));
   Http::ResponseHead head{200, "", {}};
   head.Headers.add("Content-Type", "text/plain; version=0.0.4");
   caller->respond(head, registry.text());
--- a/src/libs/gateway/store.h
+++ b/src/libs/gateway/store.h
@@ -85,6 +85,14 @@
       DecodeEndpoint;
   /// Key of the configuration in Topic::Operators.
   std::string ConfigurationKey;
+  /// Failure domain that a record with this key in Topic::Operators asks to
+  /// evacuate; nothing if the key means something else.
+  std::function<std::optional<std::string>(const std::string &key)>
+      EvacuatedDomain =
+          [](const std::string &) { return std::optional<std::string>(); };
+  /// Checks the value of such a record.
+  std::function<Utils::Status(const std::string &value)> CheckEvacuation =
+      [](const std::string &) { return Utils::success(); };
 };
 
 } // namespace Gateway
--- a/src/libs/gateway/topicfeed.cpp
+++ b/src/libs/gateway/topicfeed.cpp
@@ -92,6 +92,7 @@
   Complete = true;
   bool hasMore =
       !isSnapshot && !result.Records.empty() && result.Next < result.End;
+  CompleteBefore = CompleteUntil;
   if (!hasMore)
     CompleteUntil = std::max(CompleteUntil, sentAt);
   Next = result.Next;
--- a/src/libs/gateway/topicfeed.h
+++ b/src/libs/gateway/topicfeed.h
@@ -49,6 +49,9 @@
   uint64_t next() const { return Next; }
   /// Time up to which the data is complete; the epoch before the first read.
   Utils::TimePoint completeUntil() const { return CompleteUntil; }
+  /// Value of completeUntil() before the latest answered read: the records of
+  /// that read were not there at that time.
+  Utils::TimePoint completeBefore() const { return CompleteBefore; }
   /// A snapshot was read, and later records are read from next() on.
   bool isComplete() const { return Complete; }
   /// Whether a snapshot was read or received from the holder.
@@ -90,6 +93,7 @@
   /// No read starts before this point, however the last one ended.
   Utils::TimePoint NotBefore{};
   Utils::TimePoint CompleteUntil{};
+  Utils::TimePoint CompleteBefore{};
 };
 
 } // namespace Gateway
--- a/src/libs/gateway/view.cpp
+++ b/src/libs/gateway/view.cpp
@@ -27,12 +27,67 @@
 
 } // namespace
 
-View::View(const Store &store) : Source(store) {}
+View::View(const Store &store,
+           std::optional<Utils::Milliseconds> evacuationBound)
+    : Source(store), Evacuations(evacuationBound) {}
 
-void View::applyOperators(const std::vector<TopicRecord> &records) {
-  for (const TopicRecord &it : records)
+void View::applyOperators(const std::vector<TopicRecord> &records,
+                          std::optional<Utils::TimePoint> absentAt,
+                          Utils::TimePoint now) {
+  std::set<std::string> requested;
+  bool changed = false;
+  for (const TopicRecord &it : records) {
     if (it.Key == Source.ConfigurationKey && it.Value)
       applyConfiguration(*it.Value);
+    auto domain = Source.EvacuatedDomain(it.Key);
+    if (!domain)
+      continue;
+    changed |= applyEvacuation(*domain, it, absentAt, now);
+    if (it.Value)
+      requested.insert(*domain);
+  }
+  bool isSnapshot = !absentAt;
+  if (isSnapshot)
+    for (const std::string &it : Evacuations.missingFrom(requested))
+      changed |= withdrawEvacuation(it);
+  if (!changed)
+    return;
+  logEvacuationsInForce(now);
+  if (OnEvacuations)
+    OnEvacuations();
+}
+
+bool View::applyEvacuation(const std::string &domain, const TopicRecord &record,
+                           std::optional<Utils::TimePoint> absentAt,
+                           Utils::TimePoint now) {
+  if (!record.Value)
+    return withdrawEvacuation(domain);
+  if (!Evacuations.request(domain, absentAt, now))
+    return false;
+  if (auto status = Source.CheckEvacuation(*record.Value); !status)
+    Utils::Event("evacuation_unreadable")
+        .with("domain", domain)
+        .with("error", status.error().What)
+        .warning();
+  const Fleet::Evacuation &added = Evacuations.all().find(domain)->second;
+  Utils::Event("evacuation_requested")
+      .with("domain", domain)
+      .with("age_known", added.AgeKnown)
+      .with("grace_ms", Utils::msBetween(now, added.InForceAt))
+      .info();
+  return true;
+}
+
+bool View::withdrawEvacuation(const std::string &domain) {
+  if (!Evacuations.withdraw(domain))
+    return false;
+  Utils::Event("evacuation_withdrawn").with("domain", domain).info();
+  return true;
+}
+
+void View::logEvacuationsInForce(Utils::TimePoint now) {
+  for (const std::string &it : Evacuations.takeInForce(now))
+    Utils::Event("evacuation_in_force").with("domain", it).info();
 }
 
 void View::applyConfiguration(const std::string &text) {
--- a/src/libs/gateway/view.h
+++ b/src/libs/gateway/view.h
@@ -12,9 +12,19 @@
 /// This VM's view of the fleet: the configuration in force and the endpoints.
 class View {
 public:
-  explicit View(const Store &store);
+  /// `evacuationBound`: see Fleet::Evacuations.
+  explicit View(
+      const Store &store,
+      std::optional<Utils::Milliseconds> evacuationBound = std::nullopt);
 
-  void applyOperators(const std::vector<TopicRecord> &records);
+  /// `absentAt`: time at which the topic did not hold these records yet;
+  /// nothing if they are a snapshot, in which case evacuations without a record
+  /// are withdrawn.
+  void applyOperators(const std::vector<TopicRecord> &records,
+                      std::optional<Utils::TimePoint> absentAt,
+                      Utils::TimePoint now);
+  /// Logs the evacuations that have come into force since the last call.
+  void logEvacuationsInForce(Utils::TimePoint now);
   /// `isSnapshot`: endpoints without a record are removed.
   void applyEndpoints(const std::vector<TopicRecord> &records, bool isSnapshot,
                       Utils::TimePoint now);
@@ -32,19 +42,28 @@
   /// Null before the first configuration.
   const Fleet::ConfigurationRef &configuration() const { return Current; }
   const Fleet::EndpointTable &endpoints() const { return Endpoints; }
+  const Fleet::Evacuations &evacuations() const { return Evacuations; }
 
   /// Called after a new configuration has come into force.
   std::function<void()> OnConfiguration;
   /// Called after the endpoint with that id has changed or was removed.
   std::function<void(const std::string &)> OnEndpoint;
+  /// Called after an evacuation was requested or withdrawn.
+  std::function<void()> OnEvacuations;
 
 private:
   void applyConfiguration(const std::string &text);
+  /// Return whether the evacuations have changed.
+  bool applyEvacuation(const std::string &domain, const TopicRecord &record,
+                       std::optional<Utils::TimePoint> absentAt,
+                       Utils::TimePoint now);
+  bool withdrawEvacuation(const std::string &domain);
   void applyEndpoint(const TopicRecord &record, Utils::TimePoint now);
 
   const Store &Source;
   Fleet::ConfigurationRef Current;
   Fleet::EndpointTable Endpoints;
+  Fleet::Evacuations Evacuations;
 };
 
 } // namespace Gateway
--- a/src/libs/residency/enginereplica.h
+++ b/src/libs/residency/enginereplica.h
@@ -61,6 +61,9 @@
   uint32_t Load = 0;
   /// Calls per second that it takes from all VMs; 0 if it names no limit.
   double CallLimit = 0;
+  /// Its failure domain is being evacuated: it gets no orders and is not
+  /// Usable, but keeps what it holds.
+  bool Evacuated = false;
 
   HeldModel *find(const std::string &model);
   const HeldModel *find(const std::string &model) const;
--- a/src/libs/residency/plan.cpp
+++ b/src/libs/residency/plan.cpp
@@ -1,5 +1,7 @@
 #include "residency/plan.h"
 
+#include "residency/evacuated.h"
+
 #include <algorithm>
 #include <cmath>
 #include <optional>
@@ -40,6 +42,13 @@
 /// used within this time is taken to have in-flight calls.
 constexpr Milliseconds AdapterIdleTime{1000};
 
+/// Expected seconds of waiting of callers if no engine holds a model that is
+/// called `rate` times a second and takes `reload` seconds to load.
+double absenceCost(double rate, double reload) {
+  double callProbability = 1 - std::exp(-rate * EvictionHorizonSeconds);
+  return callProbability * reload * (1 + rate * reload / 2);
+}
+
 class Planner {
 public:
   explicit Planner(const PlanInput &input)
@@ -56,6 +65,7 @@
               [](const PendingCalls &a, const PendingCalls &b) {
                 return a.EarliestDeadline < b.EarliestDeadline;
               });
+    replaceEvacuated();
     for (const PendingCalls &calls : pending)
       loadPending(calls);
     scaleOut();
@@ -123,6 +133,33 @@
     }
   }
 
+  /// Loads the models that are called and that only evacuated engines hold at
+  /// other engines, the most called first. Their calls need not wait yet.
+  void replaceEvacuated() {
+    for (const ModelKey &key : modelsToReplace(Input)) {
+      const Fleet::Engine *engine = Input.EngineOf(key.Service);
+      const Fleet::Model *model =
+          engine ? engine->findModel(key.Model) : nullptr;
+      auto option = model ? bestOption(key, *engine, *model, 1) : std::nullopt;
+      if (option && isWorthReplacing(key, *model, *option))
+        schedule(key, *option);
+    }
+  }
+
+  /// Whether the load saves more waiting than the eviction of its victims
+  /// causes, and leaves a load from the store to models that calls wait for.
+  bool isWorthReplacing(const ModelKey &key, const Fleet::Model &model,
+                        const LoadOption &option) const {
+    auto waitsFor = [&](const PendingCalls &it) { return it.Key == key; };
+    if (std::any_of(Input.Pending.begin(), Input.Pending.end(), waitsFor))
+      return true;
+    uint32_t reserved = Input.Pending.empty() ? 0 : LoadsReservedForPending;
+    if (option.From == CopySource::Store && StoreLoads <= reserved)
+      return false;
+    return option.EvictionCost <=
+           absenceCost(callRate(key), toSeconds(loadTime(model, option.From)));
+  }
+
   /// Adds replicas of models whose engines are overloaded: calls queue there
   /// and are rejected once the queues are full, while other engines are idle.
   void scaleOut() {
@@ -310,8 +347,7 @@
     ModelKey key{replica.Service, held.Name};
     double rate = callRate(key);
     double reload = toSeconds(loadTime(*model, CopySource::Disk));
-    double callProbability = 1 - std::exp(-rate * EvictionHorizonSeconds);
-    double cost = callProbability * reload * (1 + rate * reload / 2);
+    double cost = absenceCost(rate, reload);
     if (replicaCount(key) > 1)
       cost *= SpareReplicaWeight;
     if (Input.Now - Input.Usage.lastUsed(key) < AdapterIdleTime &&
