Decode and relay the cold time of endpoints and their limit

Endpoints that have just started take only a few calls a second. The configuration names that rate for each service (cold_per_s), the entry of an endpoint the time that is left (cold_remaining_ms), and the settings the bound (cold_overshoot, cold_slack). All were dropped or not decoded. The endpoint table now stores the end of the cold time, counted from the receipt of the newest report, and entries between gateways have the remaining time.

--- a/src/libs/fleet/configuration.h
+++ b/src/libs/fleet/configuration.h
@@ -93,6 +93,11 @@
   std::string HealthPath;
   uint32_t ConnectionLimit = 0;
   std::optional<Engine> ModelEngine;
+  /// Time for which a replica is cold after its start. What a replica reports
+  /// of itself counts, as it may become cold again later.
+  Milliseconds ColdStart{0};
+  /// Calls per second that a cold replica takes; 0: no limit.
+  double ColdPerSecond = 0;
 };
 
 /// A tenant: its access keys and its rate limit, a token bucket.
--- a/src/libs/fleet/endpoints.cpp
+++ b/src/libs/fleet/endpoints.cpp
@@ -44,8 +44,10 @@
     return false;
   bool leaving = isLeaving(report);
   std::string id = report.Id;
+  auto cold = report.ColdRemaining;
+  TimePoint coldUntil = cold.count() > 0 ? now + cold : TimePoint{};
   Tombstones.erase(id);
-  Endpoints[id] = Endpoint{std::move(report), now, leaving};
+  Endpoints[id] = Endpoint{std::move(report), now, leaving, coldUntil};
   ++Revision;
   return true;
 }
--- a/src/libs/fleet/endpoints.h
+++ b/src/libs/fleet/endpoints.h
@@ -53,6 +53,9 @@
   /// The endpoint announced its shutdown in a response; overrides its reported
   /// state.
   bool Leaving = false;
+  /// End of the warm-up by the report, counted from its receipt; the epoch if
+  /// the endpoint is warm.
+  TimePoint ColdUntil{};
 
   /// Whether the endpoint accepts new requests.
   bool isReady() const {
--- a/src/libs/fleetlink/fleetlink.cpp
+++ b/src/libs/fleetlink/fleetlink.cpp
@@ -74,7 +74,7 @@
 template <class Archive> void serialize(Archive &archive, EndpointEntry &it) {
   archive(it.Endpoint, it.Revision, it.Removed, it.Draining, it.Service,
           it.Address, it.FailureDomain, it.Slots, it.StartedUnixMs, it.Sequence,
-          it.Models);
+          it.Models, it.ColdInMs);
 }
 template <class Archive> void serialize(Archive &archive, Heartbeat &it) {
   archive(it.Holder, it.Address, it.Token, it.RecordEnd, it.RecordAgeMs,
--- a/src/libs/fleetlink/fleetlink.h
+++ b/src/libs/fleetlink/fleetlink.h
@@ -251,6 +251,8 @@
   int64_t Sequence = 0;
   /// Models that an engine holds or loads.
   std::vector<ModelEntry> Models;
+  /// Remaining warm-up time of the endpoint; 0: warm.
+  uint32_t ColdInMs = 0;
 };
 
 /// Heartbeat of the holder to a gateway; answers the gateway's report.
--- a/src/libs/gateway/gatewaysettings.h
+++ b/src/libs/gateway/gatewaysettings.h
@@ -64,6 +64,12 @@
   double LoadOvershoot = 1;
   /// Interval between reports of an endpoint.
   Milliseconds ReportInterval{1200};
+  /// Calls that a cold endpoint may get in any second: this factor of its
+  /// service's limit, and the slack. By default what deployments use that set
+  /// them; they have an effect only if a service limits calls to cold
+  /// endpoints.
+  double ColdOvershoot = 1.5;
+  double ColdSlack = 5;
 };
 
 } // namespace Gateway
--- a/tests/auto/fleet/tst_fleet.cpp
+++ b/tests/auto/fleet/tst_fleet.cpp
@@ -108,3 +108,22 @@
   CHECK(Table.update(makeReport(1, 6), Now));
   CHECK_FALSE(Table.find("e")->isReady());
 }
+
+// A relayed copy of a report would otherwise extend the limit of a cold
+// endpoint each time.
+TEST_CASE_FIXTURE(EndpointTableFixture,
+                  "cold time counts from the receipt of the newest report") {
+  EndpointReport report = makeReport(1, 5);
+  report.ColdRemaining = 3000ms;
+  CHECK(Table.update(report, Now));
+  CHECK_FALSE(Table.update(report, Now + 1s));
+  CHECK(Table.find("e")->ColdUntil == Now + 3s);
+  report.Sequence = 6;
+  report.ColdRemaining = 1500ms;
+  CHECK(Table.update(report, Now + 5s));
+  CHECK(Table.find("e")->ColdUntil == Now + 6500ms);
+  report.Sequence = 7;
+  report.ColdRemaining = -5ms;
+  CHECK(Table.update(report, Now + 5s));
+  CHECK(Table.find("e")->ColdUntil == TimePoint{});
+}
--- a/tests/auto/fleetlink/tst_fleetlink.cpp
+++ b/tests/auto/fleetlink/tst_fleetlink.cpp
@@ -32,6 +32,7 @@
   entry.Endpoint = "i-1";
   entry.Address = "10.0.0.9:80";
   entry.Models = {{"m", 0, {{"a1", 15}}}};
+  entry.ColdInMs = 2500;
   out.EncodedEntries = {encodeEntry(entry)};
   out.Loads = {{hashName("i-1"), 4}};
   out.Quarantined = {{{2, 3}, 4000, 5000}};
@@ -63,6 +64,7 @@
   CHECK(heartbeat->Token == 9);
   CHECK(heartbeat->Teams[0].Level == -100);
   CHECK(heartbeat->Entries[0].Models[0].Adapters[0].ReadyInMs == 15);
+  CHECK(heartbeat->Entries[0].ColdInMs == 2500);
   CHECK(heartbeat->Quarantined[0].RemainingMs == 4000);
   CHECK(heartbeat->WatchedParts == std::vector<uint64_t>{1});
 }
--- a/tests/auto/sitewire/tst_sitewire.cpp
+++ b/tests/auto/sitewire/tst_sitewire.cpp
@@ -239,6 +239,22 @@
   CHECK(report->OnDisk.size() == 2);
 }
 
+TEST_CASE(
+    "limit of cold endpoints is decoded from the configuration, the entry "
+    "and the settings, and is none by default") {
+  json text = configuration();
+  CHECK((*decodeConfiguration(text.dump()))->Services[0].ColdPerSecond == 0);
+  text["services"][0]["cold_start_s"] = 3.5;
+  text["services"][0]["cold_per_s"] = 20.0;
+  auto config = decodeConfiguration(text.dump());
+  REQUIRE(config);
+  CHECK((*config)->Services[0].ColdStart == 3500ms);
+  CHECK((*config)->Services[0].ColdPerSecond == 20);
+  json cold = entry();
+  cold["cold_remaining_ms"] = 1250;
+  CHECK(decodeEndpointEntry("i-1", cold.dump())->ColdRemaining == 1250ms);
+}
+
 TEST_CASE("endpoint entry with a missing or invalid member is an error") {
   for (const char *member : {"service", "address", "state", "sequence"}) {
     json forged = entry();
@@ -330,6 +346,13 @@
   CHECK(settings->StopGrace == 8s);
   CHECK(settings->FirstInternalPort == 7600);
   CHECK(settings->Cores == 0.5);
+  CHECK(settings->ColdOvershoot == 1.5);
+  text["bounds"]["cold_overshoot"] = 1.2;
+  text["bounds"]["cold_slack"] = 3;
+  settings = decodeSettings(text.dump());
+  REQUIRE(settings);
+  CHECK(settings->ColdOvershoot == 1.2);
+  CHECK(settings->ColdSlack == 3);
   text["bounds"].erase("revoke_ms");
   settings = decodeSettings(text.dump());
   REQUIRE_FALSE(settings);
