Limit the calls to cold endpoints over all gateways

The bucket of a limit that an endpoint names holds one second of the rate, so a second may see twice the rate: 40 calls where a cold endpoint may get 35. A cold endpoint has such a limit until its cold time ends, beside one that it names; the lower holds. The holder grants by that limit also while the endpoint is warm, as another gateway may know sooner that it is cold.

--- a/src/libs/gateway/fleetlimiter.cpp
+++ b/src/libs/gateway/fleetlimiter.cpp
@@ -71,13 +71,21 @@
 
 void FleetLimiter::setEndpointLimit(uint32_t endpoint, double rate,
                                     TimePoint now) {
+  setEndpointLimit(endpoint, Quota::endpointLimit(rate), now);
+}
+
+void FleetLimiter::setEndpointLimit(uint32_t endpoint,
+                                    const Quota::Limit &limit, TimePoint now) {
   std::string name = FleetLink::endpointLimitName(endpoint);
-  Quota::Limit limit = Quota::endpointLimit(rate);
-  double level = limit.Burst;
+  uint32_t key = FleetLink::hashName(name);
+  auto team = Teams.find(key);
+  if (team != Teams.end() && team->second.Bucket.limit() == limit)
+    return;
+  // Gateways may have used the endpoint before it was known to be limited.
+  double level = limit.isStrict() ? 0 : limit.Burst;
   if (auto it = Initial.Levels.find(name); it != Initial.Levels.end())
-    level = it->second;
+    level = limit.isStrict() ? std::min(level, it->second) : it->second;
   constexpr double noOverdraft = 0;
-  uint32_t key = FleetLink::hashName(name);
   auto added = Teams.try_emplace(
       key, Team{name, {limit, level, noOverdraft, now}, true});
   added.first->second.Bucket.setLimit(limit, now);
--- a/src/libs/gateway/fleetlimiter.h
+++ b/src/libs/gateway/fleetlimiter.h
@@ -41,6 +41,10 @@
   void setLimits(const Fleet::Configuration &config, TimePoint now);
   /// Sets the limit on the calls to an endpoint; a rate of 0 lifts it.
   void setEndpointLimit(uint32_t endpoint, double rate, TimePoint now);
+  /// Sets the limit on the calls to an endpoint; does nothing if it is the
+  /// present one.
+  void setEndpointLimit(uint32_t endpoint, const Quota::Limit &limit,
+                        TimePoint now);
   /// Records a heartbeat of a gateway. A gateway that is leaving admits no
   /// calls on its own.
   void recordHeartbeat(const std::string &member, bool leaving, TimePoint now);
--- a/src/libs/gateway/fleetmember.cpp
+++ b/src/libs/gateway/fleetmember.cpp
@@ -64,9 +64,8 @@
     added.first->second.setLimit(limit, now);
   }
   StartFull = true;
-  for (const EndpointLimit &it : LimitsOfEndpoints.all())
-    limiters.insert(
-        Limiters.extract(FleetLink::endpointLimitName(it.Endpoint)));
+  for (uint32_t endpoint : LimitsOfEndpoints.endpoints())
+    limiters.insert(Limiters.extract(FleetLink::endpointLimitName(endpoint)));
   Limiters = std::move(limiters);
 }
 
@@ -83,6 +82,7 @@
 std::optional<Quota::Decision>
 FleetMember::acquireTokens(const std::string &limit, uint64_t call,
                            double tokens, TimePoint now) {
+  endColdLimits(now);
   auto it = Limiters.find(limit);
   if (it == Limiters.end())
     return Quota::Decision{call, std::nullopt};
@@ -112,6 +112,7 @@
 }
 
 std::vector<Quota::Decision> FleetMember::expireAcquires(TimePoint now) {
+  endColdLimits(now);
   std::vector<Quota::Decision> out;
   for (auto &[team, limiter] : Limiters)
     for (const Quota::Decision &it : limiter.expireWaiting(now, Random))
@@ -215,15 +216,39 @@
   return LimitsOfEndpoints.rateOf(FleetLink::hashName(endpoint), now) > 0;
 }
 
+bool FleetMember::noteCold(const std::string &endpoint,
+                           const Quota::Limit &limit, TimePoint until,
+                           TimePoint now) {
+  uint32_t key = FleetLink::hashName(endpoint);
+  bool changed = LimitsOfEndpoints.setCold(key, limit, until, now);
+  if (changed)
+    applyEndpointLimit(key, now);
+  return changed;
+}
+
+bool FleetMember::isCold(const std::string &endpoint, TimePoint now) const {
+  return LimitsOfEndpoints.isCold(FleetLink::hashName(endpoint), now);
+}
+
+std::optional<TimePoint> FleetMember::endOfLimit(const std::string &endpoint,
+                                                 TimePoint now) const {
+  return LimitsOfEndpoints.endOfLimit(FleetLink::hashName(endpoint), now);
+}
+
+/// Applies the limits that hold after the cold time of endpoints has ended.
+void FleetMember::endColdLimits(TimePoint now) {
+  for (uint32_t endpoint : LimitsOfEndpoints.takeWarmed(now))
+    applyEndpointLimit(endpoint, now);
+}
+
 /// Applies the newest limit of the endpoint. A limiter whose limit has ended
 /// is kept: its counters are cumulative, also for the holder.
 void FleetMember::applyEndpointLimit(uint32_t endpoint, TimePoint now) {
-  Quota::Limit limit =
-      Quota::endpointLimit(LimitsOfEndpoints.rateOf(endpoint, now));
-  auto it = Limiters
-                .try_emplace(FleetLink::endpointLimitName(endpoint), limit,
-                             limit.Burst, assumedMembers(), now)
-                .first;
+  Quota::Limit limit = LimitsOfEndpoints.limitOf(endpoint, now);
+  double level = limit.isStrict() ? 0 : limit.Burst;
+  std::string name = FleetLink::endpointLimitName(endpoint);
+  auto it =
+      Limiters.try_emplace(name, limit, level, assumedMembers(), now).first;
   it->second.setLimit(limit, now);
 }
 
--- a/src/libs/gateway/fleetmember.h
+++ b/src/libs/gateway/fleetmember.h
@@ -88,6 +88,17 @@
                          std::optional<double> rate, TimePoint now);
   /// Whether a call needs a token of endpointLimitName() to be sent.
   bool hasLimit(const std::string &endpoint, TimePoint now) const;
+  /// The endpoint has this limit until then, while it is cold. Returns whether
+  /// it has become cold or warm, or its limit while cold has changed.
+  bool noteCold(const std::string &endpoint, const Quota::Limit &limit,
+                TimePoint until, TimePoint now);
+  bool isCold(const std::string &endpoint, TimePoint now) const;
+  size_t coldCount(TimePoint now) const {
+    return LimitsOfEndpoints.coldCount(now);
+  }
+  /// End of the endpoint's limit, if that ends with its cold time.
+  std::optional<TimePoint> endOfLimit(const std::string &endpoint,
+                                      TimePoint now) const;
 
   // Prompt parts that crash endpoints.
 
@@ -154,6 +165,7 @@
                        int64_t holderToken, uint64_t sequence, TimePoint now);
   uint32_t assumedMembers() const;
   void applyEndpointLimit(uint32_t endpoint, TimePoint now);
+  void endColdLimits(TimePoint now);
   void applyEndpointLimits(const FleetLink::Heartbeat &heartbeat,
                            TimePoint now);
   void addEndpointLimits(FleetLink::Report &report, TimePoint now);
--- a/src/libs/quota/gatewaylimiter.cpp
+++ b/src/libs/quota/gatewaylimiter.cpp
@@ -39,25 +39,20 @@
     return;
   CurrentLimit = limit;
   FleetBucket.setLimit(limit, now);
-  ShareBucket.setLimit({limit.Rate / GatewayCount, limit.Burst / GatewayCount},
-                       now);
+  ShareBucket.setLimit(shareOf(limit, GatewayCount), now);
 }
 
 void GatewayLimiter::setGatewayCount(uint32_t gateways, TimePoint now) {
   if (gateways == GatewayCount || gateways == 0)
     return;
   GatewayCount = gateways;
-  ShareBucket.setLimit(
-      {CurrentLimit.Rate / GatewayCount, CurrentLimit.Burst / GatewayCount},
-      now);
+  ShareBucket.setLimit(shareOf(CurrentLimit, GatewayCount), now);
 }
 
 /// Sets this gateway's share of the rate, the burst and the level. A negative
 /// level is shared as well.
 void GatewayLimiter::resetShare(double level, TimePoint now) {
-  ShareBucket.setLimit(
-      {CurrentLimit.Rate / GatewayCount, CurrentLimit.Burst / GatewayCount},
-      now);
+  ShareBucket.setLimit(shareOf(CurrentLimit, GatewayCount), now);
   ShareBucket.setLevel(level / GatewayCount, now);
 }
 
@@ -196,11 +191,13 @@
 /// Probability of admitting a call without the holder, such that all gateways
 /// together admit on average what the limit allows. This gateway's share is
 /// often smaller than one call; while another holder is likely to take over
-/// soon, the shares of gateways without calls are used as well.
+/// soon, the shares of gateways without calls are used as well, unless the
+/// limit holds in every second: the demand is estimated too late for that.
 double GatewayLimiter::admitProbability(double tokens, TimePoint now) {
   double level = std::max(0.0, ShareBucket.level(now));
   double sinceAnswer = std::chrono::duration<double>(now - AnsweredAt).count();
-  if (hasAnswer() && level < tokens && sinceAnswer < TakeoverSeconds) {
+  if (!CurrentLimit.isStrict() && hasAnswer() && level < tokens &&
+      sinceAnswer < TakeoverSeconds) {
     double available =
         std::max(0.0, AnsweredLevel + CurrentLimit.Rate * TakeoverSeconds);
     double probability =
--- a/src/libs/quota/tokenallocator.cpp
+++ b/src/libs/quota/tokenallocator.cpp
@@ -50,7 +50,7 @@
   CurrentLimit = limit;
   FleetBucket.setLimit({limit.Rate * fraction, limit.Burst}, now);
   if (!wasLimited)
-    FleetBucket.setLevel(limit.Burst, now);
+    FleetBucket.setLevel(limit.isStrict() ? 0 : limit.Burst, now);
 }
 
 void TokenAllocator::setGrantableFraction(double fraction, TimePoint now) {
--- a/tests/auto/endpointlimits/limitfleet.cpp
+++ b/tests/auto/endpointlimits/limitfleet.cpp
@@ -5,6 +5,7 @@
 #include <deque>
 #include <doctest/doctest.h>
 #include <random>
+#include <utility>
 
 using namespace std::chrono_literals;
 using Gateway::EndpointLimits;
@@ -14,6 +15,10 @@
 
 constexpr uint32_t Endpoint = 7;
 
+/// Most calls that a cold endpoint may get in a second: a limit of 20 a second,
+/// 1.5 times that and 5 calls.
+constexpr size_t MaxColdCalls = 35;
+
 /// Gateways and their holder in logical time, before one endpoint with a limit.
 /// Messages arrive at once, or are lost.
 class LimitFleet {
@@ -35,6 +40,9 @@
                                             uint32_t(Members.size()), 20'000.0},
         Now);
     Statements = {};
+    HolderKnowsCold = false;
+    KnowColdAt.resize(Members.size() + 1, TimePoint::max());
+    learnCold();
   }
   void changeHolder() { electHolder(Members[0].takeoverState({}, Now).Levels); }
 
@@ -43,9 +51,24 @@
     Members[gateway].noteEndpointLimit("e", Rate, Now);
   }
 
+  /// The endpoint is cold from now on. Each gateway and the holder learn of it
+  /// within the time.
+  void becomeCold(Utils::Milliseconds coldTime, Utils::Milliseconds spread) {
+    ColdUntil = Now + coldTime;
+    for (TimePoint &it : KnowColdAt)
+      it = Now + Utils::Milliseconds(Random() % uint64_t(spread.count()));
+    HolderKnowsCold = IsNew = false;
+  }
+  /// The endpoint comes back: gateways that do not know it send it nothing.
+  void returnCold(Utils::Milliseconds coldTime, Utils::Milliseconds spread) {
+    becomeCold(coldTime, spread);
+    IsNew = true;
+  }
+
   void run(Utils::Milliseconds time, double callsPerSecond) {
     for (auto end = Now + time; Now < end;) {
       Now += 5ms;
+      learnCold();
       for (size_t i = 0; i < Members.size(); ++i)
         step(i);
       for (Due += callsPerSecond * 0.005; Due >= 1; Due -= 1)
@@ -64,10 +87,23 @@
   std::deque<Gateway::FleetMember> Members;
   std::vector<TimePoint> Sent;
   int LossPercent = 0;
+  bool HolderDown = false;
+  /// What the holder grants by, as far as the endpoint is known to it.
+  Quota::Limit ColdLimit = Quota::coldLimit(20, MaxColdCalls);
   TimePoint Now = TimePoint{} + 1h;
 
 private:
-  bool isLost() { return int(Random() % 100) < LossPercent; }
+  bool isLost() { return HolderDown || int(Random() % 100) < LossPercent; }
+  void learnCold() {
+    for (size_t i = 0; i < Members.size(); ++i)
+      if (KnowColdAt[i] <= Now && !Members[i].isCold("e", Now))
+        Members[i].noteCold("e", ColdLimit, ColdUntil, Now);
+    if (KnowColdAt.back() > Now || std::exchange(HolderKnowsCold, true))
+      return;
+    uint32_t key = FleetLink::hashName("e");
+    Statements.setCold(key, ColdLimit, ColdUntil, Now);
+    Holder->setEndpointLimit(key, Statements.grantLimitOf(key, Now), Now);
+  }
   std::string limitName() const {
     return FleetLink::endpointLimitName(FleetLink::hashName("e"));
   }
@@ -87,8 +123,8 @@
     for (const FleetLink::EndpointLimit &it : report.EndpointLimits)
       if (Statements.merge(Gateway::fromLink(it, Now))) {
         ++Revision;
-        Holder->setEndpointLimit(it.Endpoint,
-                                 Statements.rateOf(it.Endpoint, Now), Now);
+        Holder->setEndpointLimit(
+            it.Endpoint, Statements.grantLimitOf(it.Endpoint, Now), Now);
       }
     Holder->applyUsage(report.Member, report.Incarnation, report.Sequence,
                        report.Teams, Now);
@@ -109,6 +145,8 @@
   }
 
   void call(size_t i) {
+    if (IsNew && Now < KnowColdAt[i])
+      return;
     if (!Members[i].hasLimit("e", Now))
       return Sent.push_back(Now);
     if (auto decision =
@@ -138,6 +176,11 @@
   std::mt19937_64 Random;
   double Rate;
   std::vector<TimePoint> NextReportAt;
+  /// When the gateways, and last the holder, learn that the endpoint is cold.
+  std::vector<TimePoint> KnowColdAt;
+  TimePoint ColdUntil{};
+  bool HolderKnowsCold = false;
+  bool IsNew = false;
   std::optional<Gateway::FleetLimiter> Holder;
   EndpointLimits Statements;
   int64_t Token = 0;
@@ -238,3 +281,121 @@
   CHECK(limits.rateOf(Endpoint, now + 61s) == 0);
   CHECK(limits.statements(now + 61s).empty());
 }
+
+namespace {
+
+enum class HolderFault { None, Gone, Replaced };
+
+/// Most calls in a second at an endpoint that comes back cold under a burst.
+size_t mostAtReturn(size_t gateways, HolderFault fault, uint64_t seed) {
+  LimitFleet fleet(gateways, 20, seed);
+  fleet.LossPercent = int(seed % 4) * 5;
+  fleet.run(2s, 0);
+  fleet.HolderDown = fault == HolderFault::Gone;
+  fleet.returnCold(8s, 900ms);
+  fleet.run(Utils::Milliseconds(1000 + 50 * seed), 1000);
+  if (fault == HolderFault::Replaced) {
+    auto levels = fleet.Members[0].takeoverState({}, fleet.Now).Levels;
+    fleet.HolderDown = true;
+    fleet.run(Utils::Milliseconds(100 * (seed % 20)), 1000);
+    fleet.HolderDown = false;
+    fleet.electHolder(levels);
+  }
+  fleet.run(2900ms, 1000);
+  if (fault == HolderFault::None && fleet.LossPercent == 0)
+    CHECK(fleet.Sent.size() >= 60);
+  return fleet.mostIn(1s);
+}
+
+} // namespace
+
+// The endpoints of a domain come back cold under a burst, and crash above their
+// limit.
+TEST_CASE("gateways together keep to the limit of an endpoint that comes back "
+          "cold") {
+  for (auto fault :
+       {HolderFault::None, HolderFault::Gone, HolderFault::Replaced})
+    for (size_t gateways : {8U, 81U, 195U}) {
+      size_t most = 0;
+      for (uint64_t seed = 1; seed <= 20; ++seed)
+        most = std::max(most, mostAtReturn(gateways, fault, seed));
+      CAPTURE(int(fault));
+      CAPTURE(gateways);
+      CHECK(most <= MaxColdCalls);
+      MESSAGE("most calls in a second: ", most);
+    }
+}
+
+// An endpoint is cold again while it is called, and gateways learn of it before
+// the holder does, whose limit for it has ended.
+TEST_CASE("gateways together keep to the limit of an endpoint that becomes "
+          "cold again") {
+  for (size_t gateways : {8U, 81U, 195U})
+    for (uint64_t seed = 1; seed <= 10; ++seed) {
+      CAPTURE(gateways);
+      CAPTURE(seed);
+      LimitFleet fleet(gateways, 20, seed);
+      fleet.run(1s, 0);
+      fleet.returnCold(2s, 500ms);
+      fleet.run(4s, 300);
+      fleet.becomeCold(4s, 900ms);
+      fleet.run(900ms, 300);
+      fleet.Sent.clear();
+      fleet.run(3s, 300);
+      CHECK(fleet.mostIn(1s) <= MaxColdCalls);
+      CHECK(fleet.Sent.size() >= 40);
+    }
+}
+
+TEST_CASE("limit of a cold endpoint ends with its cold time at gateways that "
+          "hear nothing") {
+  LimitFleet fleet(8, 20, 1);
+  fleet.run(1s, 0);
+  fleet.returnCold(3s, 100ms);
+  fleet.run(1s, 200);
+  fleet.HolderDown = true;
+  fleet.run(1990ms, 200);
+  CHECK(fleet.Sent.size() < 100);
+  fleet.run(10ms, 0);
+  fleet.Sent.clear();
+  fleet.run(1s, 200);
+  CHECK(fleet.Sent.size() >= 199);
+}
+
+// The holder of a site where endpoints come and go would otherwise grant calls
+// without limit to the gateways that know first of the cold endpoint.
+TEST_CASE("holder grants calls to a warm endpoint at the rate of its cold "
+          "time") {
+  EndpointLimits limits;
+  TimePoint now = TimePoint{} + 1h;
+  auto limit = Quota::coldLimit(20, 35);
+  CHECK_FALSE(limits.setCold(Endpoint, limit, {}, now));
+  CHECK(limits.rateOf(Endpoint, now) == 0);
+  CHECK(limits.grantLimitOf(Endpoint, now) == limit);
+}
+
+TEST_CASE("lower one of the limits of a cold endpoint holds") {
+  EndpointLimits limits;
+  TimePoint now = TimePoint{} + 1h;
+  CHECK(limits.setCold(Endpoint, Quota::coldLimit(20, 35), now + 3s, now));
+  limits.noteLimit(Endpoint, 40, now);
+  CHECK(limits.rateOf(Endpoint, now) == 20);
+  CHECK(limits.limitOf(Endpoint, now).Burst == 5);
+  CHECK_FALSE(limits.endOfLimit(Endpoint, now));
+  limits.noteLimit(Endpoint, 3, now + 1s);
+  CHECK(limits.rateOf(Endpoint, now + 1s) == 3);
+  CHECK(limits.takeWarmed(now + 2s).empty());
+  limits.noteLimit(Endpoint, 40, now + 2s);
+  CHECK(limits.takeWarmed(now + 3s) == std::vector<uint32_t>{Endpoint});
+  CHECK(limits.takeWarmed(now + 3s).empty());
+  CHECK(limits.rateOf(Endpoint, now + 3s) == 40);
+}
+
+TEST_CASE("bucket of a cold limit holds no more than the bound allows above "
+          "the rate, and at least one call") {
+  CHECK(Quota::coldLimit(20, 35).Burst == 5);
+  CHECK(Quota::coldLimit(20, 22).Burst == 2);
+  CHECK(Quota::coldLimit(20, 20).Burst == 1);
+  CHECK(Quota::coldLimit(0.5, 5.75).Burst == 1);
+  CHECK(Quota::coldLimit(0, 5).Rate == 0);
+}
