Apply the limit of cold endpoints at gateways and the holder

Gateways and the holder take the end of the cold time from each new entry and configuration; the holder relays an entry again when the end changes and does not cache it meanwhile. A call that waits because of the limit tries again at the latest when the limit ends. Warm endpoints with a free slot are preferred. The event endpoint_cold and the metric hickory_gateway_cold_endpoints show cold endpoints.

--- a/src/libs/balance/choose.cpp
+++ b/src/libs/balance/choose.cpp
@@ -17,9 +17,17 @@
   return load + (candidate.SameDomain ? 0 : DomainPreference);
 }
 
-/// Endpoints of the lowest rank are used first, whatever their load.
-int rank(const Candidate &candidate) {
-  return (candidate.Tried ? 2 : 0) + (candidate.Avoided ? 1 : 0);
+/// Whether all slots are known to be in use.
+bool isFull(const Candidate &candidate) {
+  return candidate.Slots > 0 && candidate.Load >= candidate.Slots;
+}
+
+/// Endpoints of the lowest rank are used first, whatever their load. A full
+/// endpoint ranks with the cold ones: its calls would wait.
+int rank(const Candidate &candidate, bool hasCold) {
+  bool slow = hasCold && (candidate.Cold || isFull(candidate));
+  return (candidate.Tried ? 4 : 0) + (candidate.Avoided ? 2 : 0) +
+         (slow ? 1 : 0);
 }
 
 } // namespace
@@ -27,13 +35,18 @@
 std::optional<size_t> choose(const std::vector<Candidate> &candidates,
                              TimePoint now, std::mt19937_64 &random) {
   std::vector<size_t> best;
+  bool hasCold = std::any_of(candidates.begin(), candidates.end(),
+                             [](const Candidate &it) { return it.Cold; });
+  int lowest = 0;
   for (size_t i = 0; i < candidates.size(); ++i) {
     if (now < candidates[i].CoolDownUntil)
       continue;
-    if (!best.empty() && rank(candidates[i]) > rank(candidates[best[0]]))
+    int ranked = rank(candidates[i], hasCold);
+    if (!best.empty() && ranked > lowest)
       continue;
-    if (!best.empty() && rank(candidates[i]) < rank(candidates[best[0]]))
+    if (ranked < lowest)
       best.clear();
+    lowest = ranked;
     best.push_back(i);
   }
   if (best.empty())
--- a/src/libs/balance/choose.h
+++ b/src/libs/balance/choose.h
@@ -25,13 +25,15 @@
   /// The endpoint accepts no calls from this VM before this time, or its limit
   /// allows none.
   TimePoint CoolDownUntil{};
+  /// The endpoint is cold and takes few calls, slowly.
+  bool Cold = false;
 };
 
 /// Returns the index of the candidate that gets the call; nothing if there is
 /// none. Takes the less loaded of two random candidates (Mitzenmacher, "The
 /// Power of Two Choices", 2001). Endpoints that failed recently or were tried
 /// before are used only if there are no others, and endpoints in cool-down
-/// never.
+/// never. Cold endpoints are used if the others have no free slot.
 std::optional<size_t> choose(const std::vector<Candidate> &candidates,
                              TimePoint now, std::mt19937_64 &random);
 
--- a/src/libs/gateway/calllimit.cpp
+++ b/src/libs/gateway/calllimit.cpp
@@ -49,12 +49,15 @@
   dispatch();
 }
 
-/// Chooses the endpoint no more until its limit may allow another call.
+/// Chooses the endpoint no more until its limit may allow another call, or
+/// ends.
 void Call::pauseOverLimit(const std::string &endpoint,
                           const Quota::Decision &decision) {
+  Utils::TimePoint retryAt = SentAt + *decision.RetryAfter;
+  if (auto end = State.Coordination.member().endOfLimit(endpoint, SentAt))
+    retryAt = std::min(retryAt, *end);
   State.HealthTracker.setOverLimit(
-      endpoint, SentAt + std::min(*decision.RetryAfter, MaxOverLimitPause),
-      SentAt + *decision.RetryAfter);
+      endpoint, std::min(retryAt, SentAt + MaxOverLimitPause), retryAt);
 }
 
 } // namespace Gateway
--- a/src/libs/gateway/callsend.cpp
+++ b/src/libs/gateway/callsend.cpp
@@ -110,7 +110,8 @@
          it->Report.Slots, health.AvoidUntil > SentAt,
          it->Report.FailureDomain == State.Settings.FailureDomain,
          TriedEndpoints.count(it->Report.Id) > 0,
-         std::max(health.CoolDownUntil, health.OverLimitUntil)});
+         std::max(health.CoolDownUntil, health.OverLimitUntil),
+         State.Coordination.member().isCold(it->Report.Id, SentAt)});
   }
   BackoffEnd = Balance::earliestCoolDownEnd(candidates, SentAt);
   auto chosen = Balance::choose(candidates, SentAt, State.Random);
--- a/src/libs/gateway/fleetagent.cpp
+++ b/src/libs/gateway/fleetagent.cpp
@@ -350,7 +350,25 @@
   reportSoon();
 }
 
+/// Takes in until when the endpoint is cold, by its newest report.
+void FleetAgent::noteColdTime(const Fleet::Endpoint &endpoint) {
+  const std::string &id = endpoint.Report.Id;
+  Utils::TimePoint now = Utils::BootClock::now();
+  Quota::Limit limit =
+      coldLimitOf(endpoint, Ctx.FleetView.configuration().get(), Ctx.Settings);
+  if (!Self.noteCold(id, limit, endpoint.ColdUntil, now) ||
+      !Self.isCold(id, now))
+    return;
+  Utils::Event("endpoint_cold")
+      .with("endpoint", id)
+      .with("rate", limit.Rate)
+      .with("ms", Utils::msBetween(now, endpoint.ColdUntil))
+      .info();
+}
+
 void FleetAgent::onEndpoint(const std::string &id) {
+  if (const Fleet::Endpoint *it = Ctx.FleetView.endpoints().find(id))
+    noteColdTime(*it);
   if (Holder)
     Holder->onEndpoint(id);
 }
@@ -362,6 +380,8 @@
 
 void FleetAgent::onConfiguration() {
   Self.setLimits(*Ctx.FleetView.configuration(), Utils::BootClock::now());
+  for (const auto &[id, endpoint] : Ctx.FleetView.endpoints().all())
+    noteColdTime(endpoint);
   if (Holder)
     Holder->onConfiguration();
 }
--- a/src/libs/gateway/fleetagent.h
+++ b/src/libs/gateway/fleetagent.h
@@ -80,6 +80,7 @@
   void recordStamp(const FleetLink::Heartbeat &heartbeat);
   void handOverToStronger();
   void onDutyChange();
+  void noteColdTime(const Fleet::Endpoint &endpoint);
 
   Context Ctx;
   std::string Address;
--- a/src/libs/gateway/fleetholder.cpp
+++ b/src/libs/gateway/fleetholder.cpp
@@ -155,6 +155,8 @@
   if (!config)
     return;
   Limits.setLimits(*config, now);
+  for (const auto &[id, endpoint] : Ctx.FleetView.endpoints().all())
+    noteColdTime(endpoint);
   broadcast();
 }
 
@@ -166,6 +168,7 @@
   bool sameProcess = member.LatestReport.Incarnation == report.Incarnation;
   if (sameProcess && report.Sequence <= member.LatestReport.Sequence)
     return;
+  endColdLimits(now);
   Limits.recordHeartbeat(report.Member, report.Leaving, now);
   for (const FleetLink::EndpointLimit &it : report.EndpointLimits)
     mergeEndpointLimit(fromLink(it, now), now);
@@ -208,23 +211,6 @@
         adapter->LastUsed = now;
 }
 
-void FleetHolder::mergeEndpointLimit(const EndpointLimit &limit,
-                                     Utils::TimePoint now) {
-  if (!LimitsOfEndpoints.merge(limit))
-    return;
-  ++LimitsRevision;
-  Limits.setEndpointLimit(limit.Endpoint,
-                          LimitsOfEndpoints.rateOf(limit.Endpoint, now), now);
-  // The gateways learn of it with the answers to their next reports. Many
-  // endpoints change their limits at once.
-  schedulePlan();
-}
-
-void FleetHolder::noteEndpointLimit(const std::string &endpoint, double rate) {
-  Utils::TimePoint now = Utils::BootClock::now();
-  mergeEndpointLimit({FleetLink::hashName(endpoint), rate, now}, now);
-}
-
 void FleetHolder::recordCrashes(const FleetLink::Report &report,
                                 Utils::TimePoint now) {
   for (const FleetLink::EndpointCrash &it : report.Crashes)
@@ -254,16 +240,6 @@
     broadcastSoon();
 }
 
-FleetLink::Grant
-FleetHolder::handleGrantRequest(const FleetLink::GrantRequest &request) {
-  Utils::TimePoint now = Utils::BootClock::now();
-  Limits.capLevels(request.Levels, now);
-  Limits.applyUsage(request.Member, request.Incarnation, request.Sequence,
-                    request.Teams, now);
-  return {Token, request.Incarnation, request.Sequence,
-          Limits.grants(request.Member, request.Teams, now)};
-}
-
 std::string FleetHolder::notes() {
   return FleetLink::encodeLevels(
       Limits.levelsToRecord(Utils::BootClock::now()));
@@ -411,14 +387,18 @@
   out.Slots = report.Slots;
   out.StartedUnixMs = report.StartedUnixMs;
   out.Sequence = report.Sequence;
+  Utils::TimePoint now = Utils::BootClock::now();
+  out.ColdInMs = msUntil(endpoint->ColdUntil, now);
   if (auto replica = Replicas.find(id); replica != Replicas.end())
-    addModels(out, replica->second, Utils::BootClock::now());
+    addModels(out, replica->second, now);
   return out;
 }
 
 namespace {
 
 bool hasCountdown(const FleetLink::EndpointEntry &entry) {
+  if (entry.ColdInMs > 0)
+    return true;
   return std::any_of(
       entry.Models.begin(), entry.Models.end(), [](const auto &model) {
         return model.ReadyInMs > 0 ||
--- a/src/libs/gateway/fleetholder.h
+++ b/src/libs/gateway/fleetholder.h
@@ -105,6 +105,9 @@
   // Gateways.
   void recordUse(const FleetLink::ModelCalls &use, Utils::TimePoint now);
   void mergeEndpointLimit(const EndpointLimit &limit, Utils::TimePoint now);
+  void noteColdTime(const Fleet::Endpoint &endpoint);
+  void applyEndpointLimit(uint32_t endpoint, Utils::TimePoint now);
+  void endColdLimits(Utils::TimePoint now);
   /// Takes in what a gateway has seen of crashes, and decides on quarantines.
   void recordCrashes(const FleetLink::Report &report, Utils::TimePoint now);
   void updateQuarantines(Utils::TimePoint now);
--- a/src/libs/gateway/holderengines.cpp
+++ b/src/libs/gateway/holderengines.cpp
@@ -148,6 +148,7 @@
 
 void FleetHolder::onEndpoint(const std::string &id) {
   if (const Fleet::Endpoint *endpoint = Ctx.FleetView.endpoints().find(id)) {
+    noteColdTime(*endpoint);
     updateEndpoint(*endpoint);
     return noteEndpointChange(id);
   }
@@ -211,11 +212,14 @@
 
 void FleetHolder::noteEndpointChange(const std::string &id, bool resend) {
   auto replica = Replicas.find(id);
-  TableChanges.update(id,
-                      entryContent(makeEntry(id), replica == Replicas.end()
-                                                      ? nullptr
-                                                      : &replica->second),
-                      resend);
+  std::string content = entryContent(
+      makeEntry(id), replica == Replicas.end() ? nullptr : &replica->second);
+  if (const Fleet::Endpoint *endpoint = Ctx.FleetView.endpoints().find(id);
+      endpoint && LimitsOfEndpoints.isCold(FleetLink::hashName(id),
+                                           Utils::BootClock::now()))
+    content += " cold@" +
+               std::to_string(endpoint->ColdUntil.time_since_epoch().count());
+  TableChanges.update(id, std::move(content), resend);
 }
 
 void FleetHolder::onAllEndpointsRead(uint64_t next) {
--- a/src/libs/gateway/process.cpp
+++ b/src/libs/gateway/process.cpp
@@ -235,6 +235,7 @@
   out.Slots = entry.Slots;
   out.StartedUnixMs = entry.StartedUnixMs;
   out.Sequence = entry.Sequence;
+  out.ColdRemaining = milliseconds(entry.ColdInMs);
   for (const FleetLink::ModelEntry &model : entry.Models) {
     Fleet::ResidentModel held{model.Name, 0, {}};
     for (const FleetLink::AdapterEntry &it : model.Adapters)
@@ -314,6 +315,8 @@
   registry.set("hickory_gateway_members", State.Coordination.members());
   registry.set("hickory_gateway_quarantines",
                double(State.Coordination.member().quarantineCount()));
+  registry.set("hickory_gateway_cold_endpoints",
+               double(State.Coordination.member().coldCount(now)));
   registry.set("hickory_gateway_holds_duty", State.Coordination.isHolder());
   registry.set(
       "hickory_gateway_configuration_age_seconds",
--- a/tests/auto/balance/tst_balance.cpp
+++ b/tests/auto/balance/tst_balance.cpp
@@ -71,6 +71,19 @@
   CHECK(countChoices()[0] == 1000);
 }
 
+// A cold endpoint is slow and crashes under many calls.
+TEST_CASE_FIXTURE(EndpointChoice,
+                  "cold endpoint is chosen only if the warm ones are full") {
+  add(0).Cold = true;
+  add(9);
+  CHECK(countChoices()[1] == 1000);
+  Candidates[1].Load = 10;
+  CHECK(countChoices()[0] > 500);
+  Candidates[1].Load = 9;
+  Candidates[1].Avoided = true;
+  CHECK(countChoices()[0] == 1000);
+}
+
 TEST_CASE_FIXTURE(
     TrackedEndpoint,
     "endpoint is avoided after one failed connection or two errors in a row") {
--- a/tests/auto/endpointlimits/tst_endpointlimits.cpp
+++ b/tests/auto/endpointlimits/tst_endpointlimits.cpp
@@ -141,3 +141,80 @@
         size_t(Factor * LimitPerSecond * 4) + Slack);
   CHECK(limited().ArrivalTimes.size() > LimitPerSecond);
 }
+
+namespace {
+
+constexpr double ColdPerSecond = 8;
+
+/// A gateway before endpoints of a service that limits the calls to cold ones.
+/// The first endpoint is cold.
+struct ColdFixture : LimitFixture {
+  ColdFixture() {
+    limited().AnswerFields = "";
+    Config.Services.push_back({});
+    Config.Services.back().Name = "s";
+    Config.Services.back().ColdPerSecond = ColdPerSecond;
+    publish();
+    drainEndpoint("i-2");
+    becomeCold(2500ms);
+  }
+  void becomeCold(std::chrono::milliseconds time) {
+    Reports[0].ColdRemaining = time;
+    ++Reports[0].Sequence;
+    runUntil([&] { return coldCount() == 1; });
+  }
+  double coldCount() {
+    const std::string name = "\nhickory_gateway_cold_endpoints ";
+    std::string text = metrics();
+    size_t at = text.find(name);
+    return at == std::string::npos ? 0
+                                   : std::stod(text.substr(at + name.size()));
+  }
+  size_t mostInSecond(Utils::TimePoint from) {
+    const auto &times = limited().ArrivalTimes;
+    size_t most = 0;
+    for (auto it = times.begin(); it != times.end(); ++it)
+      if (*it >= from)
+        most = std::max(
+            most, size_t(std::lower_bound(it, times.end(), *it + 1s) - it));
+    return most;
+  }
+};
+
+} // namespace
+
+// Cold endpoints crashed under the calls that warm ones take.
+TEST_CASE_FIXTURE(ColdFixture,
+                  "cold endpoint gets no more calls than its limit, again when "
+                  "it is cold again, and all calls when it is warm") {
+  for (int i = 0; i < 2; ++i) {
+    auto cold = Utils::BootClock::now();
+    callFor(1800ms);
+    CHECK(mostInSecond(cold) <=
+          size_t(ColdPerSecond * Settings.ColdOvershoot + Settings.ColdSlack));
+    CHECK(mostInSecond(cold) > ColdPerSecond / 2);
+    runUntil([&] { return coldCount() == 0; });
+    auto warm = Utils::BootClock::now();
+    callFor(1000ms);
+    CHECK(mostInSecond(warm) > 17);
+    if (i == 0)
+      becomeCold(2500ms);
+  }
+}
+
+TEST_CASE_FIXTURE(ColdFixture,
+                  "holder relays the cold time that is left at that moment") {
+  auto relayedMs = [&] {
+    FleetLink::Report report;
+    for (const FleetLink::EndpointEntry &it : exchangeReport(report).Entries)
+      if (it.Endpoint == "i-1")
+        return it.ColdInMs;
+    return 0U;
+  };
+  uint32_t first = relayedMs();
+  wait(300ms);
+  uint32_t second = relayedMs();
+  CHECK(first <= 2500);
+  CHECK(second > 0);
+  CHECK(second + 300 <= first + 1);
+}
