--- a/src/libs/explain/gatewaycauses.cpp
+++ b/src/libs/explain/gatewaycauses.cpp
@@ -175,7 +175,8 @@
 constexpr char PartQuarantined[] =
     "a part of its prompt has crashed several endpoints and is quarantined";
 constexpr char EndpointsLimited[] =
-    "the limits on calls that its endpoints name were used up";
+    "the limits on calls that its endpoints name, or have while they are cold, "
+    "were used up";
 constexpr char EndpointsRest[] =
     "all endpoints that could run it had asked for a pause";
 constexpr char Leaving[] =
