--- a/src/libs/balance/choose.h
+++ b/src/libs/balance/choose.h
@@ -25,6 +25,8 @@
   /// The endpoint accepts no calls from this VM before this time, or its limit
   /// allows none.
   TimePoint CoolDownUntil{};
+  /// The endpoint is cold and takes few calls, slowly.
+  bool Cold = false;
   /// The failure domain of the endpoint is being evacuated.
   bool Evacuating = false;
 };
@@ -33,7 +35,8 @@
 /// none. Takes the less loaded of two random candidates (Mitzenmacher, "The
 /// Power of Two Choices", 2001). Endpoints that failed recently, were tried
 /// before or are being evacuated are used only if there are no others, and
-/// endpoints in cool-down never.
+/// endpoints in cool-down never. Cold endpoints are used if the others have no
+/// free slot.
 std::optional<size_t> choose(const std::vector<Candidate> &candidates,
                              TimePoint now, std::mt19937_64 &random);
 
--- a/src/libs/gateway/callsend.cpp
+++ b/src/libs/gateway/callsend.cpp
@@ -112,6 +112,7 @@
          it->Report.FailureDomain == State.Settings.FailureDomain,
          TriedEndpoints.count(it->Report.Id) > 0,
          std::max(health.CoolDownUntil, health.OverLimitUntil),
+         State.Coordination.member().isCold(it->Report.Id, SentAt),
          State.FleetView.evacuations().isInGracePeriod(it->Report.FailureDomain,
                                                        SentAt)});
   }
--- a/src/libs/gateway/gatewaysettings.h
+++ b/src/libs/gateway/gatewaysettings.h
@@ -71,6 +71,12 @@
   std::optional<Milliseconds> EvacuationBound;
   /// Region of each failure domain; empty in deployments of one region.
   std::map<std::string, std::string> RegionOfDomain;
+  /// Calls that a cold endpoint may get in any second: this factor of its
+  /// service's limit, and the slack. By default what deployments use that set
+  /// them; they have an effect only if a service limits calls to cold
+  /// endpoints.
+  double ColdOvershoot = 1.5;
+  double ColdSlack = 5;
 };
 
 } // namespace Gateway
