Read the store before data of the holder is older than its bound

A gateway accepted reads of the holder up to 1,500 ms old and put off its own read by 1,000 ms after each report. While the store rejected only the holder, it used data up to 2,500 ms old, although draining endpoints and configurations have bounds of 2,000 ms.

A read is now postponed by no more than keeps the data younger than the bound less 400 ms, from bounds.drain_ms and bounds.configuration_apply_ms, which is decoded now (2,000 ms if absent). A static assertion compares that with the greatest age in calm operation, 1,520 ms at the longest report interval, so that no gateway reads more than before. A start with shorter bounds logs bounds_need_reads.

A gateway beside a holder that reads the store makes no reads of topics in 3 s. The tests' store can now append the duty's records for a gateway whose reads it rejects, as a takeover ends the reliance on the holder.

--- a/src/libs/gateway/fleetholder.cpp
+++ b/src/libs/gateway/fleetholder.cpp
@@ -37,10 +37,6 @@
 /// Report interval per gateway of the fleet, so that the holder of up to 350
 /// gateways receives at most 500 reports per second.
 constexpr milliseconds ReportIntervalPerMember{2};
-/// Maximum report interval, below the time after which a gateway without a
-/// heartbeat reads the store itself. Several hundred gateways doing so at once
-/// overload the store.
-constexpr milliseconds MaxReportInterval{700};
 
 /// Interval of decisions on quarantines while no new crash is reported.
 constexpr milliseconds QuarantineUpdateInterval{50};
--- a/src/libs/gateway/gatewayconstants.h
+++ b/src/libs/gateway/gatewayconstants.h
@@ -1,6 +1,7 @@
 #ifndef GATEWAY_GATEWAYCONSTANTS_H
 #define GATEWAY_GATEWAYCONSTANTS_H
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 
@@ -28,6 +29,33 @@
 /// Response time of the store when it is slow; 4 ms is typical.
 constexpr milliseconds SlowStoreLatency{300};
 static_assert(2 * (HolderPollTimeout + SlowStoreLatency) <= MaxRelayedAge);
+/// Maximum report interval, below the time after which a gateway without a
+/// heartbeat reads the store itself. Several hundred gateways doing so at once
+/// overload the store.
+constexpr milliseconds MaxReportInterval{700};
+static_assert(MaxReportInterval < RelayTimeout);
+/// Subtracted from a bound on the age of data: one slow read of the store, and
+/// 100 ms for a call to get from the choice of its endpoint to the endpoint.
+constexpr milliseconds ReadMargin = SlowStoreLatency + milliseconds(100);
+
+/// Age of data, as known from the holder's reads, at which a gateway reads the
+/// store itself so that it keeps the bound.
+constexpr milliseconds maxAgeBeforeRead(milliseconds bound) {
+  return std::max(bound - ReadMargin, milliseconds(0));
+}
+
+/// Greatest age of data while the holder reads the store without delay and
+/// every report is answered: the data lags by two of the holder's reads, which
+/// take 10 ms at most, and by a report interval. A lower maxAgeBeforeRead()
+/// would let all gateways of a large fleet read the store in calm operation.
+constexpr milliseconds MaxCalmAge =
+    std::max(EndpointPollInterval + milliseconds(20),
+             2 * (HolderPollTimeout + milliseconds(10))) +
+    MaxReportInterval;
+/// Least bound on the draining of endpoints and on the configuration that
+/// operators set.
+constexpr milliseconds MinAgeBound{2000};
+static_assert(MaxCalmAge <= maxAgeBeforeRead(MinAgeBound));
 /// Timeout of a store request: twice the slow response time plus 100 ms.
 constexpr milliseconds StoreTimeout{700};
 /// Initial and maximum backoff after a failed store request; doubled on each
--- a/src/libs/gateway/gatewaysettings.h
+++ b/src/libs/gateway/gatewaysettings.h
@@ -64,6 +64,8 @@
   double LoadOvershoot = 1;
   /// Interval between reports of an endpoint.
   Milliseconds ReportInterval{1200};
+  /// Time within which a new configuration must be in force.
+  Milliseconds ConfigurationApply{2000};
 };
 
 } // namespace Gateway
--- a/src/libs/gateway/process.cpp
+++ b/src/libs/gateway/process.cpp
@@ -110,13 +110,15 @@
                                       ? HolderPollTimeout
                                       : ConfigurationPollTimeout;
                          },
-                         {}},
+                         {},
+                         maxAgeBeforeRead(State.Settings.ConfigurationApply)},
                         [this](const auto &records, bool) {
                           State.FleetView.applyOperators(records);
                         }),
       EndpointFeed(loop, State.Clients.PlatformStore,
                    {Topic::Endpoints, [] { return milliseconds(0); },
-                    EndpointPollInterval},
+                    EndpointPollInterval,
+                    maxAgeBeforeRead(State.Settings.EndpointDrain)},
                    [this](const auto &records, bool isSnapshot) {
                      State.FleetView.applyEndpoints(records, isSnapshot,
                                                     Utils::BootClock::now());
@@ -194,9 +196,26 @@
   return open(ReadinessListener, State.Settings.ReadinessAddress);
 }
 
+namespace {
+
+/// Bounds below MinAgeBound are kept by more reads of the store.
+void warnOfShortBounds(const GatewaySettings &settings) {
+  if (std::min(settings.EndpointDrain, settings.ConfigurationApply) >=
+      MinAgeBound)
+    return;
+  Utils::Event("bounds_need_reads")
+      .with("drain_ms", settings.EndpointDrain.count())
+      .with("configuration_apply_ms", settings.ConfigurationApply.count())
+      .with("least_ms", MinAgeBound.count())
+      .warning();
+}
+
+} // namespace
+
 Utils::Status Process::start() {
   if (auto status = listen(); !status)
     return status;
+  warnOfShortBounds(State.Settings);
   Utils::Event("started")
       .with("vm", State.Settings.VmName)
       .with("domain", State.Settings.FailureDomain)
--- a/src/libs/gateway/topicfeed.cpp
+++ b/src/libs/gateway/topicfeed.cpp
@@ -136,9 +136,19 @@
   });
 }
 
+/// The next report may be answered late or by older data: a read is postponed
+/// by no more than keeps the data younger than MaxAge.
+void TopicFeed::postponeReads(Utils::TimePoint reportedAt) {
+  Utils::TimePoint until = reportedAt + RelayTimeout;
+  bool hasData = CompleteUntil != Utils::TimePoint{};
+  if (hasData && Config.MaxAge)
+    until = std::min(until, CompleteUntil + *Config.MaxAge);
+  NotBefore = std::max(NotBefore, until);
+}
+
 void TopicFeed::postpone(Utils::TimePoint asOf, Utils::TimePoint reportedAt) {
   CompleteUntil = std::max(CompleteUntil, asOf);
-  NotBefore = std::max(NotBefore, reportedAt + RelayTimeout);
+  postponeReads(reportedAt);
   if (!Reading)
     readAt(NotBefore);
 }
@@ -150,7 +160,7 @@
   if (Next >= next)
     return postpone(asOf, reportedAt);
   // The next heartbeat shows whether there are more records.
-  NotBefore = reportedAt + RelayTimeout;
+  postponeReads(reportedAt);
   read();
 }
 
--- a/src/libs/gateway/topicfeed.h
+++ b/src/libs/gateway/topicfeed.h
@@ -22,6 +22,8 @@
     };
     /// Pause between the end of a read and the next one.
     Utils::Milliseconds Pause{0};
+    /// Age of the data from which the holder's answers do not postpone a read.
+    std::optional<Utils::Milliseconds> MaxAge = std::nullopt;
   };
   /// `isSnapshot`: the records are the whole topic, not an addition.
   using RecordsCallback =
@@ -68,6 +70,7 @@
   void onFailure(const Utils::Failure &failure);
   void readAfter(Utils::Milliseconds delay);
   void readAt(Utils::TimePoint at);
+  void postponeReads(Utils::TimePoint reportedAt);
   void postpone(Utils::TimePoint asOf, Utils::TimePoint reportedAt);
 
   const Store &Source;
--- a/tests/auto/gateway/gatewayfixture.cpp
+++ b/tests/auto/gateway/gatewayfixture.cpp
@@ -133,6 +133,8 @@
     if (&loop == &Loop)
       ++(topic == Gateway::Topic::Operators ? ConfigReads : EndpointReads);
     done(recordsOf(topic));
+    if (OnStoreRead)
+      OnStoreRead(loop, topic);
   });
 }
 
@@ -249,7 +251,7 @@
   store.AppendDuty = [this, &loop, &answers](auto end, const auto &value, auto,
                                              auto done) {
     runOnLoopAfter(loop, 1ms, [this, &answers, end, value, done] {
-      if (!answers || end != DutyEnd)
+      if ((!answers && !DutyAnswers) || end != DutyEnd)
         return done(Utils::failure(Utils::Errc::Conflict, "store"));
       DutyRecord = value;
       if (OnDutyAppended)
--- a/tests/auto/gateway/gatewayfixture.h
+++ b/tests/auto/gateway/gatewayfixture.h
@@ -146,6 +146,12 @@
   std::function<void()> OnDutyAppended;
   void runAfter(std::chrono::milliseconds pause,
                 const std::function<void()> &callback);
+  /// Whether the store appends records of the duty also for gateways whose
+  /// reads it does not answer.
+  bool DutyAnswers = false;
+  /// Called after the store has answered a read of the gateway that runs on
+  /// that loop.
+  std::function<void(const asio::io_context &, Gateway::Topic)> OnStoreRead;
 
 private:
   /// `answers`: whether the store answers this gateway's reads.
--- a/tests/auto/sitewire/tst_sitewire.cpp
+++ b/tests/auto/sitewire/tst_sitewire.cpp
@@ -328,8 +328,11 @@
   auto settings = decodeSettings(text.dump());
   REQUIRE(settings);
   CHECK(settings->StopGrace == 8s);
+  CHECK(settings->ConfigurationApply == 2s);
   CHECK(settings->FirstInternalPort == 7600);
   CHECK(settings->Cores == 0.5);
+  text["bounds"]["configuration_apply_ms"] = 3000;
+  CHECK(decodeSettings(text.dump())->ConfigurationApply == 3s);
   text["bounds"].erase("revoke_ms");
   settings = decodeSettings(text.dump());
   REQUIRE_FALSE(settings);
--- a/tests/auto/takeover/tst_takeover.cpp
+++ b/tests/auto/takeover/tst_takeover.cpp
@@ -2,6 +2,7 @@
 
 #include "codec/codec.h"
 #include "duty/serialize.h"
+#include "gateway/gatewayconstants.h"
 
 #include <algorithm>
 #include <asio/ip/udp.hpp>
@@ -21,6 +22,11 @@
         return Script{answer(200, "ok")};
       };
   }
+  void waitFor(std::chrono::milliseconds time) {
+    runUntil([&, until = Utils::BootClock::now() + time] {
+      return Utils::BootClock::now() >= until;
+    });
+  }
   size_t knownEndpoints() {
     return size_t(metric("hickory_gateway_endpoints"));
   }
@@ -71,6 +77,29 @@
   Gateway::GatewaySettings HolderSettings;
 };
 
+/// A gateway beside a holder that the store will reject. The holder keeps the
+/// duty meanwhile: a takeover would make the gateway read the store.
+struct RejectedHolderFixture : TakeoverFixture {
+  RejectedHolderFixture() { DutyAnswers = true; }
+  /// Lets the holder read the topic once more, runs `write`, and has the store
+  /// reject the holder from then on. Returns the time of the write.
+  Utils::TimePoint writeBehindHolder(Gateway::Topic topic,
+                                     const std::function<void()> &write) {
+    OtherGateway &holder = Others.at("holder");
+    std::optional<Utils::TimePoint> writtenAt;
+    OnStoreRead = [&](const auto &loop, Gateway::Topic read) {
+      if (&loop != &holder.Loop || read != topic || writtenAt)
+        return;
+      holder.StoreAnswers = false;
+      write();
+      writtenAt = Utils::BootClock::now();
+    };
+    runUntil([&] { return writtenAt.has_value(); });
+    OnStoreRead = {};
+    return *writtenAt;
+  }
+};
+
 /// Three gateways of which two are killed and started again at random, while
 /// entries of the store drain and go. The store fails the third one at times.
 struct RandomTakeoverFixture : FollowerFixture {
@@ -289,6 +318,56 @@
   CHECK(callsTo(Endpoints.back()) == 0);
 }
 
+// review/3, DRAIN: the gateway relied on reads of the holder up to 1,500 ms old
+// and read the store itself up to 1,000 ms later, in sum after the bound.
+TEST_CASE_FIXTURE(RejectedHolderFixture,
+                  "endpoint that drains while the store rejects only the "
+                  "holder gets its last call within the bound") {
+  startFollower();
+  Utils::TimePoint writtenAt = writeBehindHolder(Gateway::Topic::Endpoints,
+                                                 [&] { markDraining("i-2"); });
+  Utils::TimePoint lastCallAt = writtenAt;
+  while (Utils::BootClock::now() <
+         writtenAt + Settings.EndpointDrain + Gateway::RelayTimeout) {
+    size_t before = Endpoints.back().Requests.size();
+    Utils::TimePoint sentAt = Utils::BootClock::now();
+    CHECK(statusOf(call("/unsafe/")) == 200);
+    if (Endpoints.back().Requests.size() > before)
+      lastCallAt = sentAt;
+    waitFor(10ms);
+  }
+  CHECK(lastCallAt < writtenAt + Settings.EndpointDrain);
+}
+
+// review/3, CONFIG: as above, for the configuration.
+TEST_CASE_FIXTURE(RejectedHolderFixture,
+                  "configuration that is written while the store rejects only "
+                  "the holder is in force within the bound") {
+  startFollower();
+  Utils::TimePoint writtenAt =
+      writeBehindHolder(Gateway::Topic::Operators, [&] {
+        addRoute("/new/", "s", Fleet::RouteKind::Unsafe);
+        ++Config.Version;
+      });
+  constexpr unsigned ok = 200;
+  while (statusOf(call("/new/")) != ok)
+    waitFor(10ms);
+  CHECK(Utils::BootClock::now() < writtenAt + Settings.ConfigurationApply);
+}
+
+// A large fleet whose gateways all read the store would overload it.
+TEST_CASE_FIXTURE(TakeoverFixture, "gateway whose holder reads the store does "
+                                   "not read it in calm operation") {
+  startFollower();
+  awaitHeartbeats();
+  int ownReads = 0;
+  OnStoreRead = [&](const auto &loop, Gateway::Topic) {
+    ownReads += &loop == &Loop;
+  };
+  waitFor(3s);
+  CHECK(ownReads == 0);
+}
+
 TEST_CASE("gateway follows the store after random ends and starts of the "
           "others while entries change") {
   constexpr uint64_t seeds = 4;
