Add datagrams that request and carry fragments of operators' records

A gateway that the store rejects has no way to get records from the holder. A request names the state of the topic, by its offset and a hash of the records, and a fragment; the answer carries that fragment and the age of the holder's read.

--- a/src/libs/fleetlink/fleetlink.cpp
+++ b/src/libs/fleetlink/fleetlink.cpp
@@ -86,6 +86,16 @@
           it.TableBaseFromStore, it.EncodedEntries, it.Loads, it.Quarantined,
           it.WatchedParts, it.LimitsRevision, it.EndpointLimits);
 }
+template <class Archive> void serialize(Archive &archive, RecordState &it) {
+  archive(it.Next, it.Digest);
+}
+template <class Archive> void serialize(Archive &archive, RecordRequest &it) {
+  archive(it.Address, it.Incarnation, it.Transfer, it.State, it.Fragment);
+}
+template <class Archive> void serialize(Archive &archive, RecordFragment &it) {
+  archive(it.Incarnation, it.Transfer, it.State, it.AgeMs, it.Fragment,
+          it.Fragments, it.Bytes);
+}
 
 namespace {
 
@@ -95,7 +105,9 @@
   GrantRequest = 7,
   Grant = 8,
   Report = 9,
-  Heartbeat = 10
+  Heartbeat = 10,
+  RecordRequest = 11,
+  RecordFragment = 12
 };
 
 template <typename T> std::string encodeAs(Kind kind, const T &message) {
@@ -150,6 +162,14 @@
 
 std::string encode(const Grant &grant) { return encodeAs(Kind::Grant, grant); }
 
+std::string encode(const RecordRequest &request) {
+  return encodeAs(Kind::RecordRequest, request);
+}
+
+std::string encode(const RecordFragment &fragment) {
+  return encodeAs(Kind::RecordFragment, fragment);
+}
+
 namespace {
 
 template <typename T> Utils::Outcome<Datagram> decodeAs(std::string_view text) {
@@ -177,6 +197,10 @@
     return decodeAs<GrantRequest>(content);
   case Kind::Grant:
     return decodeAs<Grant>(content);
+  case Kind::RecordRequest:
+    return decodeAs<RecordRequest>(content);
+  case Kind::RecordFragment:
+    return decodeAs<RecordFragment>(content);
   }
   return Utils::failure(Utils::Errc::Corrupt, "datagram: unknown message kind");
 }
--- a/src/libs/fleetlink/fleetlink.h
+++ b/src/libs/fleetlink/fleetlink.h
@@ -315,6 +315,44 @@
   std::vector<EndpointLimit> EndpointLimits;
 };
 
+/// State of the operators' topic at a gateway.
+struct RecordState {
+  /// Offset up to which the topic was read.
+  uint64_t Next = 0;
+  /// Hash of the encoded records. Reads of a snapshot may differ at one offset,
+  /// as its pages are not read at the same time.
+  uint64_t Digest = 0;
+  bool operator==(const RecordState &) const = default;
+};
+
+/// Request of a gateway to the holder for a fragment of the operators' records.
+struct RecordRequest {
+  /// IP:PORT for the answer.
+  std::string Address;
+  uint64_t Incarnation = 0;
+  /// Number of the transfer in the gateway's process.
+  uint64_t Transfer = 0;
+  /// State to which the fragments received so far belong; not set before the
+  /// first.
+  RecordState State;
+  uint32_t Fragment = 0;
+};
+
+/// Fragment of the holder's operators' records.
+struct RecordFragment {
+  /// As in the request.
+  uint64_t Incarnation = 0;
+  uint64_t Transfer = 0;
+  RecordState State;
+  /// Time since the records were complete by a read of the store, when the
+  /// holder answered.
+  uint32_t AgeMs = 0;
+  uint32_t Fragment = 0;
+  /// Number of fragments of this state.
+  uint32_t Fragments = 0;
+  std::string Bytes;
+};
+
 /// Encodes an entry as it is sent.
 std::string encodeEntry(const EndpointEntry &entry);
 /// Decodes the entries of a heartbeat; Corrupt if one is malformed.
@@ -324,13 +362,16 @@
 std::string encode(const Heartbeat &heartbeat);
 std::string encode(const GrantRequest &request);
 std::string encode(const Grant &grant);
+std::string encode(const RecordRequest &request);
+std::string encode(const RecordFragment &fragment);
 
 /// Encodes levels as a holder stores them for its successors.
 std::string encodeLevels(const std::vector<TeamLevel> &levels);
 /// Corrupt if the bytes are malformed.
 Utils::Outcome<std::vector<TeamLevel>> decodeLevels(std::string_view bytes);
 
-using Datagram = std::variant<Report, Heartbeat, GrantRequest, Grant>;
+using Datagram = std::variant<Report, Heartbeat, GrantRequest, Grant,
+                              RecordRequest, RecordFragment>;
 /// Corrupt if the bytes are malformed.
 Utils::Outcome<Datagram> decode(std::string_view bytes);
 
--- a/tests/auto/fleetlink/tst_fleetlink.cpp
+++ b/tests/auto/fleetlink/tst_fleetlink.cpp
@@ -82,6 +82,26 @@
   CHECK(std::get<Grant>(grantDatagram.value()).Teams[0].Granted == 9);
 }
 
+TEST_CASE("encoded record request and fragment decode to the same fields") {
+  auto datagram =
+      decode(encode(RecordRequest{"10.0.0.1:7600", 5, 6, {7, 8}, 9}));
+  REQUIRE(datagram);
+  auto *request = std::get_if<RecordRequest>(&datagram.value());
+  REQUIRE(request);
+  CHECK(request->Address == "10.0.0.1:7600");
+  CHECK(request->State == RecordState{7, 8});
+  CHECK(request->Fragment == 9);
+  datagram = decode(encode(RecordFragment{5, 6, {7, 8}, 30, 9, 10, "records"}));
+  REQUIRE(datagram);
+  auto *fragment = std::get_if<RecordFragment>(&datagram.value());
+  REQUIRE(fragment);
+  CHECK(fragment->Transfer == 6);
+  CHECK(fragment->State == RecordState{7, 8});
+  CHECK(fragment->AgeMs == 30);
+  CHECK(fragment->Fragments == 10);
+  CHECK(fragment->Bytes == "records");
+}
+
 TEST_CASE(
     "datagram that is truncated, too long or of another protocol is rejected") {
   std::string bytes = encode(sampleHeartbeat());
