--- a/src/libs/gateway/gatewaysettings.h
+++ b/src/libs/gateway/gatewaysettings.h
@@ -77,6 +77,8 @@
   /// endpoints.
   double ColdOvershoot = 1.5;
   double ColdSlack = 5;
+  /// Time within which a new configuration must be in force.
+  Milliseconds ConfigurationApply{2000};
 };
 
 } // namespace Gateway
