--- a/src/libs/explain/gatewaycauses.cpp
+++ b/src/libs/explain/gatewaycauses.cpp
@@ -172,6 +172,8 @@
 constexpr char NoConfiguration[] =
     "the gateway had not read a configuration yet";
 constexpr char NoEndpoint[] = "no endpoint of its service was ready";
+constexpr char DomainEvacuated[] =
+    "all ready endpoints of its service were in evacuated failure domains";
 constexpr char PartQuarantined[] =
     "a part of its prompt has crashed several endpoints and is quarantined";
 constexpr char EndpointsLimited[] =
@@ -195,6 +197,7 @@
     {"malformed", fixedCause<Malformed>},
     {"no_configuration", fixedCause<NoConfiguration>},
     {"no_endpoint", fixedCause<NoEndpoint>},
+    {"domain_evacuated", fixedCause<DomainEvacuated>},
     {"part_quarantined", fixedCause<PartQuarantined>},
     {"endpoints_limited", fixedCause<EndpointsLimited>},
     {"endpoints_rest", fixedCause<EndpointsRest>},
--- a/tests/auto/gateway/gatewayfixture.cpp
+++ b/tests/auto/gateway/gatewayfixture.cpp
@@ -112,6 +112,8 @@
   Gateway::TopicRead read;
   if (topic == Gateway::Topic::Operators) {
     read.Records.push_back({"config", "text"});
+    for (const Gateway::TopicRecord &it : OperatorRecords)
+      read.Records.push_back(it);
     return read;
   }
   for (const std::string &id : RemovedEntries)
@@ -225,6 +227,10 @@
                                          const bool &answers) {
   Gateway::Store store;
   store.ConfigurationKey = "config";
+  store.EvacuatedDomain = [](const std::string &key) {
+    return key.rfind("evacuate/", 0) == 0 ? std::optional(key.substr(9))
+                                          : std::nullopt;
+  };
   store.ReadPage = [this, &loop, &answers](auto topic, const auto &, auto,
                                            auto done) {
     answerRead(loop, answers, topic,
@@ -311,6 +317,10 @@
 
 void GatewayFixture::publish() {
   ++Config.Version;
+  awaitOperatorReads();
+}
+
+void GatewayFixture::awaitOperatorReads() {
   uint64_t before = ConfigReads;
   runUntil([&] { return ConfigReads >= before + 2; });
 }
--- a/tests/auto/gateway/gatewayfixture.h
+++ b/tests/auto/gateway/gatewayfixture.h
@@ -112,6 +112,8 @@
   unsigned statusOf(RawCaller &caller);
   std::string readiness();
   std::string metrics();
+  /// Waits until the gateway has read the operators' topic.
+  void awaitOperatorReads();
   /// Returns settings with ports of their own for another gateway.
   Gateway::GatewaySettings makeSettings(const std::string &vmName);
   /// Starts another gateway with these settings.
@@ -128,6 +130,8 @@
   std::map<std::string, std::string> RawEntries;
   /// Ids of the entries that were removed.
   std::vector<std::string> RemovedEntries;
+  /// Further records of the operators' topic, beside the configuration.
+  std::vector<Gateway::TopicRecord> OperatorRecords;
   /// Responses to the next requests, whichever endpoint receives them.
   std::deque<Script> Scripts;
   bool StoreAnswers = true;
--- a/tests/auto/residency/tst_residency.cpp
+++ b/tests/auto/residency/tst_residency.cpp
@@ -400,3 +400,52 @@
   CHECK(limiter.available(now + 4s) == 0);
   CHECK(limiter.available(now + 6s) > 0);
 }
+
+// Guards against models that nobody can use once the grace period is over.
+TEST_CASE_FIXTURE(PlannerFixture,
+                  "models that only an evacuated engine holds are loaded "
+                  "elsewhere, the most called first, and idle ones are not") {
+  EngineReplica &evacuated = addReplica("a", {"m0", "m1", "m2"});
+  evacuated.Usable = false;
+  evacuated.Evacuated = true;
+  for (const char *id : {"b", "c"})
+    addReplica(id, {"m3", "m4", "m5"});
+  recordCalls("m0", 2);
+  recordCalls("m1", 20);
+  auto tasks = run();
+  REQUIRE(tasks.size() == 2);
+  CHECK(tasks[0].Orders.back().Model == "m1");
+  CHECK(tasks[1].Orders.back().Model == "m0");
+  CHECK(tasks[0].ReplicaId != "a");
+  CHECK(tasks[1].ReplicaId != "a");
+}
+
+// Guards against more loads from the store than its rate allows.
+TEST_CASE_FIXTURE(PlannerFixture,
+                  "replacement of an evacuated engine stays within the loads "
+                  "from the store and prefers a copy on disk") {
+  EngineReplica &evacuated = addReplica("a", {"m0", "m1"});
+  evacuated.Usable = false;
+  evacuated.Evacuated = true;
+  addReplica("b", {}).OnDisk.clear();
+  addReplica("c", {}).OnDisk = {"m1"};
+  addReplica("d", {}).OnDisk.clear();
+  recordCalls("m0", 20);
+  recordCalls("m1", 2);
+  StoreLoads = 0;
+  auto tasks = run();
+  REQUIRE(tasks.size() == 1);
+  CHECK(tasks[0].ReplicaId == "c");
+  CHECK(tasks[0].Orders.back().Model == "m1");
+  CHECK(tasks[0].Orders.back().From == CopySource::Disk);
+  StoreLoads = 1;
+  CHECK(run().size() == 2);
+}
+
+TEST_CASE_FIXTURE(PlannerFixture,
+                  "withdrawn evacuation: what the engine holds counts again") {
+  addReplica("a", {"m0", "m1", "m2"});
+  addReplica("b", {"m3", "m4", "m5"});
+  recordCalls("m1", 20);
+  CHECK(run().empty());
+}
--- a/tests/auto/sitewire/tst_sitewire.cpp
+++ b/tests/auto/sitewire/tst_sitewire.cpp
@@ -330,6 +330,13 @@
   CHECK(settings->StopGrace == 8s);
   CHECK(settings->FirstInternalPort == 7600);
   CHECK(settings->Cores == 0.5);
+  CHECK_FALSE(settings->EvacuationBound);
+  text["bounds"]["evacuation_ms"] = 5000;
+  text["zones"] = {{"z", "r"}};
+  settings = decodeSettings(text.dump());
+  REQUIRE(settings);
+  CHECK(settings->EvacuationBound == 5s);
+  CHECK(settings->RegionOfDomain.at("z") == "r");
   text["bounds"].erase("revoke_ms");
   settings = decodeSettings(text.dump());
   REQUIRE_FALSE(settings);
