--- a/tests/auto/sitewire/tst_sitewire.cpp
+++ b/tests/auto/sitewire/tst_sitewire.cpp
@@ -356,6 +356,13 @@
   CHECK(settings->ColdSlack == 3);
   text["bounds"]["configuration_apply_ms"] = 3000;
   CHECK(decodeSettings(text.dump())->ConfigurationApply == 3s);
+  CHECK_FALSE(settings->EvacuationBound);
+  text["bounds"]["evacuation_ms"] = 5000;
+  text["zones"] = {{"z", "r"}};
+  settings = decodeSettings(text.dump());
+  REQUIRE(settings);
+  CHECK(settings->EvacuationBound == 5s);
+  CHECK(settings->RegionOfDomain.at("z") == "r");
   text["bounds"].erase("revoke_ms");
   settings = decodeSettings(text.dump());
   REQUIRE_FALSE(settings);
