--- a/src/libs/balance/retrybudget.cpp
+++ b/src/libs/balance/retrybudget.cpp
@@ -25,9 +25,13 @@
   add(CurrentPolicy.Ratio);
 }
 
-bool RetryBudget::takeRetry(Utils::TimePoint now) {
+bool RetryBudget::hasRetry(Utils::TimePoint now) {
   refill(now);
-  if (Tokens < 1)
+  return Tokens >= 1;
+}
+
+bool RetryBudget::takeRetry(Utils::TimePoint now) {
+  if (!hasRetry(now))
     return false;
   Tokens -= 1;
   return true;
--- a/src/libs/balance/retrybudget.h
+++ b/src/libs/balance/retrybudget.h
@@ -26,6 +26,8 @@
 
   void setPolicy(const Policy &policy) { CurrentPolicy = policy; }
   void onFirstAttempt(Utils::TimePoint now);
+  /// Whether takeRetry() would succeed.
+  bool hasRetry(Utils::TimePoint now);
   /// Takes one retry from the budget; false when it is exhausted.
   bool takeRetry(Utils::TimePoint now);
 
