Keep the state of an attempt in a struct of its own

A call that may have two copies in flight needs two of connection, endpoint, head, body and verdict, which were members of Call.

They move to Attempt, which the callbacks of the attempt's connection share. The time at which an endpoint was picked stays in the call. Behaviour is unchanged; tst_gateway passes.

--- a/src/libs/gateway/call.cpp
+++ b/src/libs/gateway/call.cpp
@@ -185,7 +185,7 @@
     State.Coordination.member().refundTokens(Team->Name, TokensTaken);
   // If the caller has disconnected, the deadline still ends the exchange with
   // the endpoint.
-  if (!Connection)
+  if (!Current->isInFlight())
     DeadlineTimer.cancel();
   double seconds =
       std::chrono::duration<double>(Utils::BootClock::now() - ArrivedAt)
@@ -206,7 +206,7 @@
       .with("team", Team ? Team->Name : "")
       .with("model", Metadata.Model)
       .with("adapter", Metadata.Adapter)
-      .with("endpoint", EndpointId)
+      .with("endpoint", Current->EndpointId)
       .with("sends", Sends)
       .with("runs", RunsStarted)
       .with("version", Configuration ? Configuration->Version : 0)
@@ -258,9 +258,9 @@
 void Call::endUnanswered(const EndOutcomes &outcomes,
                          Balance::AttemptResult attempt,
                          Utils::Milliseconds retryAfter) {
-  if (Connection) {
-    Connection->cancel();
-    endSend(Done ? Balance::AttemptResult::Cancelled : attempt);
+  if (Current->isInFlight()) {
+    Current->Connection->cancel();
+    endSend(*Current, Done ? Balance::AttemptResult::Cancelled : attempt);
   }
   if (Done)
     return;
@@ -278,9 +278,9 @@
     return;
   // A non-idempotent call is not cancelled at the endpoint: the caller could
   // not learn afterwards whether it was executed.
-  if (Connection && Route->Kind != Fleet::RouteKind::Unsafe) {
-    Connection->cancel();
-    endSend(Balance::AttemptResult::Cancelled);
+  if (Current->isInFlight() && Route->Kind != Fleet::RouteKind::Unsafe) {
+    Current->Connection->cancel();
+    endSend(*Current, Balance::AttemptResult::Cancelled);
   }
   finish("caller_gone", 0);
 }
--- a/src/libs/gateway/call.h
+++ b/src/libs/gateway/call.h
@@ -1,8 +1,8 @@
 #ifndef GATEWAY_CALL_H
 #define GATEWAY_CALL_H
 
+#include "gateway/attempt.h"
 #include "gateway/gateway.h"
-#include "gateway/replyverdict.h"
 
 #include <set>
 
@@ -57,33 +57,33 @@
   void pauseOverLimit(const std::string &endpoint,
                       const Quota::Decision &decision);
   void startSending(const std::string &endpoint);
-  void beginAttempt(const std::string &endpoint);
+  AttemptRef beginAttempt(const std::string &endpoint);
   void send(const Fleet::Endpoint &endpoint);
-  HttpIo::ClientConnectionRef connectionForSend();
-  HttpIo::ResponseCallbacks responseEvents();
+  HttpIo::ClientConnectionRef connectionForSend(const Attempt &attempt);
+  HttpIo::ResponseCallbacks responseEvents(const AttemptRef &attempt);
   /// Whether an answer with this head may go on with the stream that another
   /// endpoint has begun.
   bool continuesStream(const Http::ResponseHead &head) const;
-  HttpIo::HeadVerdict onHead(const Http::ResponseHead &head,
+  HttpIo::HeadVerdict onHead(Attempt &attempt, const Http::ResponseHead &head,
                              Http::Framing framing);
-  void logSkippedReply(const std::string &callId, unsigned status) const;
-  void onBody(std::string_view data);
-  void forwardEvents();
-  void abortOversizedAnswer();
-  void onEnd(HttpIo::ExchangeResult end);
-  void completeAnswer();
-  bool isAnswer() const { return Verdict == ReplyVerdict::Answer; }
+  void logSkippedReply(const Attempt &attempt, const std::string &callId,
+                       unsigned status) const;
+  void onBody(Attempt &attempt, std::string_view data);
+  void forwardEvents(Attempt &attempt);
+  void abortOversizedAnswer(Attempt &attempt);
+  void onEnd(Attempt &attempt, HttpIo::ExchangeResult end);
+  void completeAnswer(const Attempt &attempt);
   /// Whether the ended stream stops inside an event, or has none although
   /// nothing but the end of its connection says that it is complete.
-  bool isStreamCutOff() const;
-  void onSendFailed(Balance::AttemptResult end);
+  bool isStreamCutOff(const Attempt &attempt) const;
+  void onSendFailed(Attempt &attempt, Balance::AttemptResult end);
   /// The endpoint broke off the exchange.
-  void onBrokenOff();
+  void onBrokenOff(const Attempt &attempt);
   /// The endpoint has been answering long enough for the answer to show that
   /// the call does not crash it.
-  bool isAnswering() const;
+  static bool isAnswering(const Attempt &attempt);
   /// The endpoint has answered, so the call's parts do not crash it.
-  void recordAnswer();
+  void recordAnswer(const Attempt &attempt);
   /// Refuses the call and returns true if its prompt parts are quarantined.
   bool refuseQuarantined();
   void applyNextStep(Balance::RecoveryAction next);
@@ -101,13 +101,13 @@
                      Balance::AttemptResult attempt,
                      Utils::Milliseconds retryAfter);
   void onCallerDisconnected();
-  void endSend(Balance::AttemptResult end);
+  void endSend(Attempt &attempt, Balance::AttemptResult end);
   void refuse(unsigned status, std::string_view reason,
               std::optional<Utils::Milliseconds> retryAfter = std::nullopt);
   void finish(std::string_view outcome, unsigned status);
   void logEnd(std::string_view outcome, unsigned status);
   bool streams() const;
-  void beginStream();
+  void beginStream(const Attempt &attempt);
 
   GatewayState &State;
   HttpIo::ServerConnectionRef Caller;
@@ -122,28 +122,10 @@
   Utils::TimePoint Deadline;
   HttpIo::Timer DeadlineTimer;
 
-  // State of the current attempt.
-  HttpIo::ClientConnectionRef Connection;
-  std::string EndpointId;
-  std::string PoolKey;
-  Utils::TimePoint SentAt;
-  /// When the head of the answer arrived.
-  std::optional<Utils::TimePoint> AnsweredAt;
-  Http::ResponseHead Head;
-  ReplyVerdict Verdict = ReplyVerdict::Unproven;
-  /// The answer has neither a length nor chunks.
-  bool EndsWithConnection = false;
-  bool NotExecuted = false;
-  /// The connection has carried exchanges before this one.
-  bool ConnectionReused = false;
-  /// The endpoint had got the call before this send.
-  bool SentBefore = false;
-  /// The answer names the call.
-  bool AnswerNamesCall = false;
-  std::string Body;
-
-  /// Events of the answer have been forwarded to the caller.
-  bool EventsForwarded = false;
+  /// The latest attempt; its endpoint is empty before the first.
+  AttemptRef Current = std::make_shared<Attempt>();
+  /// When an endpoint was last picked.
+  Utils::TimePoint PickedAt;
 
   /// Head of the stream that has begun, whose rest other endpoints may send.
   Http::ResponseHead StreamHead;
--- a/src/libs/gateway/callcrash.cpp
+++ b/src/libs/gateway/callcrash.cpp
@@ -12,12 +12,13 @@
 
 } // namespace
 
-bool Call::isAnswering() const {
-  return AnsweredAt && Utils::BootClock::now() >= *AnsweredAt + MinAnswerTime;
+bool Call::isAnswering(const Attempt &attempt) {
+  return attempt.AnsweredAt &&
+         Utils::BootClock::now() >= *attempt.AnsweredAt + MinAnswerTime;
 }
 
-void Call::recordAnswer() {
-  State.Coordination.member().recordAnswer(SharedParts, *AnsweredAt);
+void Call::recordAnswer(const Attempt &attempt) {
+  State.Coordination.member().recordAnswer(SharedParts, *attempt.AnsweredAt);
 }
 
 bool Call::refuseQuarantined() {
@@ -30,15 +31,15 @@
   return true;
 }
 
-void Call::onBrokenOff() {
+void Call::onBrokenOff(const Attempt &attempt) {
   // Without shared parts, the crash says nothing about other calls.
-  if (SharedParts.empty() || isAnswering())
+  if (SharedParts.empty() || isAnswering(attempt))
     return;
   const Fleet::Endpoint *endpoint =
-      State.FleetView.endpoints().find(EndpointId);
+      State.FleetView.endpoints().find(attempt.EndpointId);
   if (endpoint)
-    State.Crashes.onBrokenOff(EndpointId, endpoint->Report.Address,
-                              {SharedParts, SentAt});
+    State.Crashes.onBrokenOff(attempt.EndpointId, endpoint->Report.Address,
+                              {SharedParts, attempt.SentAt});
 }
 
 } // namespace Gateway
--- a/src/libs/gateway/calllimit.cpp
+++ b/src/libs/gateway/calllimit.cpp
@@ -16,7 +16,7 @@
 } // namespace
 
 bool Call::sendWithinLimit(const std::string &endpoint) {
-  if (!State.Coordination.member().hasLimit(endpoint, SentAt)) {
+  if (!State.Coordination.member().hasLimit(endpoint, PickedAt)) {
     startSending(endpoint);
     return true;
   }
@@ -36,13 +36,13 @@
 
 void Call::onEndpointLimitDecided(const Quota::Decision &decision) {
   std::string id = std::exchange(ReservedEndpoint, {});
-  SentAt = Utils::BootClock::now();
+  PickedAt = Utils::BootClock::now();
   if (!decision.isAdmitted()) {
     pauseOverLimit(id, decision);
     return dispatch();
   }
   const Fleet::Endpoint *endpoint = State.FleetView.endpoints().find(id);
-  if (endpoint && isEligible(*endpoint) && Deadline - SentAt >= MinTimeToSend)
+  if (endpoint && isEligible(*endpoint) && Deadline - PickedAt >= MinTimeToSend)
     return startSending(id);
   State.Coordination.member().refundTokens(
       FleetLink::endpointLimitName(FleetLink::hashName(id)), 1);
@@ -53,8 +53,8 @@
 void Call::pauseOverLimit(const std::string &endpoint,
                           const Quota::Decision &decision) {
   State.HealthTracker.setOverLimit(
-      endpoint, SentAt + std::min(*decision.RetryAfter, MaxOverLimitPause),
-      SentAt + *decision.RetryAfter);
+      endpoint, PickedAt + std::min(*decision.RetryAfter, MaxOverLimitPause),
+      PickedAt + *decision.RetryAfter);
 }
 
 } // namespace Gateway
--- a/src/libs/gateway/callsend.cpp
+++ b/src/libs/gateway/callsend.cpp
@@ -71,9 +71,9 @@
     return false;
   if (Metadata.Model.empty())
     return true;
-  auto readyAt = State.Coordination.member().readyAt(endpoint, Metadata.Model,
-                                                     Metadata.Adapter, SentAt);
-  return readyAt && *readyAt <= SentAt;
+  auto readyAt = State.Coordination.member().readyAt(
+      endpoint, Metadata.Model, Metadata.Adapter, PickedAt);
+  return readyAt && *readyAt <= PickedAt;
 }
 
 std::vector<const Fleet::Endpoint *> Call::eligibleEndpoints() const {
@@ -82,7 +82,7 @@
   const auto *endpointIds =
       Metadata.Model.empty()
           ? nullptr
-          : State.Coordination.member().endpointsWith(Metadata.Model, SentAt);
+          : State.Coordination.member().endpointsWith(Metadata.Model, PickedAt);
   if (endpointIds) {
     for (const std::string &id : *endpointIds)
       if (const auto *it = endpoints.find(id); it && isEligible(*it))
@@ -101,19 +101,19 @@
   WithinLimitAt.reset();
   for (const Fleet::Endpoint *it : eligible) {
     const auto &health = State.HealthTracker.health(it->Report.Id);
-    if (SentAt < health.OverLimitUntil)
+    if (PickedAt < health.OverLimitUntil)
       WithinLimitAt = std::min(WithinLimitAt.value_or(health.WithinLimitAt),
                                health.WithinLimitAt);
     candidates.push_back(
         {health.InFlight +
              State.Coordination.member().loadOfOtherGateways(it->Report.Id),
-         it->Report.Slots, health.AvoidUntil > SentAt,
+         it->Report.Slots, health.AvoidUntil > PickedAt,
          it->Report.FailureDomain == State.Settings.FailureDomain,
          TriedEndpoints.count(it->Report.Id) > 0,
          std::max(health.CoolDownUntil, health.OverLimitUntil)});
   }
-  BackoffEnd = Balance::earliestCoolDownEnd(candidates, SentAt);
-  auto chosen = Balance::choose(candidates, SentAt, State.Random);
+  BackoffEnd = Balance::earliestCoolDownEnd(candidates, PickedAt);
+  auto chosen = Balance::choose(candidates, PickedAt, State.Random);
   if (!chosen)
     return std::nullopt;
   Candidates = candidates.size();
@@ -127,13 +127,13 @@
   if (WithinLimitAt && *WithinLimitAt + MinTimeToSend >= Deadline)
     return endBetweenSends(
         "endpoints_limited",
-        std::chrono::ceil<Utils::Milliseconds>(*WithinLimitAt - SentAt));
+        std::chrono::ceil<Utils::Milliseconds>(*WithinLimitAt - PickedAt));
   if (BackoffEnd && *BackoffEnd + MinTimeToSend < Deadline)
     return wait();
   if (BackoffEnd)
     return endBetweenSends(
         "endpoints_rest",
-        std::chrono::ceil<Utils::Milliseconds>(*BackoffEnd - SentAt));
+        std::chrono::ceil<Utils::Milliseconds>(*BackoffEnd - PickedAt));
   if (needsModel())
     return wait();
   endBetweenSends("no_endpoint", DefaultRetryAfter);
@@ -142,8 +142,8 @@
 /// Returns true if the call has been sent, will be sent if the limit of the
 /// chosen endpoint admits it, or has ended.
 bool Call::tryDispatch() {
-  SentAt = Utils::BootClock::now();
-  if (Deadline - SentAt < MinTimeToSend) {
+  PickedAt = Utils::BootClock::now();
+  if (Deadline - PickedAt < MinTimeToSend) {
     endBetweenSends("no_time", std::nullopt);
     return true;
   }
@@ -158,20 +158,20 @@
 void Call::startSending(const std::string &endpoint) {
   if (QueuedSince != Utils::TimePoint{})
     QueuedFor += std::chrono::duration_cast<Utils::Milliseconds>(
-        SentAt - std::exchange(QueuedSince, {}));
+        PickedAt - std::exchange(QueuedSince, {}));
   if (Sends == 0)
-    State.retryBudget(Service).onFirstAttempt(SentAt);
+    State.retryBudget(Service).onFirstAttempt(PickedAt);
   send(*State.FleetView.endpoints().find(endpoint));
 }
 
 void Call::wait() {
-  QueuedSince = SentAt;
+  QueuedSince = PickedAt;
   Utils::Event("call_waiting")
       .with("id", Metadata.Id)
       .with("model", Metadata.Model)
       .with("adapter", Metadata.Adapter)
-      .with("left_ms", Utils::msBetween(SentAt, Deadline))
-      .with("led", State.Coordination.member().hasLiveHolder(SentAt))
+      .with("left_ms", Utils::msBetween(PickedAt, Deadline))
+      .with("led", State.Coordination.member().hasLiveHolder(PickedAt))
       .with("holder_token", State.Coordination.member().token())
       .info();
   State.PendingDispatch.add(weak_from_this());
@@ -188,68 +188,75 @@
   return {Service, Metadata.Model, Metadata.Adapter, 1, uint32_t(left)};
 }
 
-void Call::beginAttempt(const std::string &endpoint) {
-  EndpointId = endpoint;
-  SentBefore = !TriedEndpoints.insert(endpoint).second;
+AttemptRef Call::beginAttempt(const std::string &endpoint) {
+  auto attempt = std::make_shared<Attempt>();
+  attempt->EndpointId = endpoint;
+  attempt->SentAt = PickedAt;
+  attempt->SentBefore = !TriedEndpoints.insert(endpoint).second;
   ++RunsStarted; // Taken back if the call proves not to have run.
   State.HealthTracker.onSent(endpoint);
-  NotExecuted = AnswerNamesCall = ConnectionReused = EventsForwarded = false;
-  Verdict = ReplyVerdict::Unproven;
-  AnsweredAt.reset();
-  Head = {};
-  Body.clear();
+  return attempt;
 }
 
 void Call::send(const Fleet::Endpoint &endpoint) {
-  beginAttempt(endpoint.Report.Id);
+  Current = beginAttempt(endpoint.Report.Id);
+  // A failed send may begin another attempt.
+  AttemptRef sent = Current;
+  Attempt &attempt = *sent;
   std::error_code ec;
   auto address = HttpIo::parseEndpoint(endpoint.Report.Address, ec);
   if (ec) {
     Utils::Event("endpoint_address_unreadable")
-        .with("endpoint", EndpointId)
+        .with("endpoint", attempt.EndpointId)
         .with("address", endpoint.Report.Address)
         .error();
-    NotExecuted = true;
-    return onSendFailed(Balance::AttemptResult::ConnectionFailed);
+    attempt.NotExecuted = true;
+    return onSendFailed(attempt, Balance::AttemptResult::ConnectionFailed);
   }
-  PoolKey = endpoint.Report.Address + "/" + EndpointId;
+  attempt.PoolKey = endpoint.Report.Address + "/" + attempt.EndpointId;
   static const std::string noTeam;
   uint8_t priority = Team && Team->Priority ? *Team->Priority : Route->Priority;
-  auto left =
-      std::chrono::duration_cast<Utils::Milliseconds>(Deadline - SentAt);
-  ForwardMetadata metadata{EndpointId, Team ? Team->Name : noTeam, left,
+  auto left = std::chrono::duration_cast<Utils::Milliseconds>(Deadline -
+                                                              attempt.SentAt);
+  ForwardMetadata metadata{attempt.EndpointId, Team ? Team->Name : noTeam, left,
                            priority, LastEventId};
-  Connection = connectionForSend();
-  ConnectionReused = Connection->exchanges() > 0;
+  attempt.Connection = connectionForSend(attempt);
+  attempt.ConnectionReused = attempt.Connection->exchanges() > 0;
   ++Sends;
-  Connection->exchange(
+  attempt.Connection->exchange(
       address,
       Http::serializeRequest(State.Clients.Calls.Forward(Request, metadata)),
-      responseEvents());
+      responseEvents(sent));
 }
 
-HttpIo::ClientConnectionRef Call::connectionForSend() {
+HttpIo::ClientConnectionRef Call::connectionForSend(const Attempt &attempt) {
   // All sends of a call have the same id, so a late copy of the answer to an
   // earlier one could not be told from the answer to this one.
-  if (SentBefore)
+  if (attempt.SentBefore)
     return State.Connections.create();
   // Refusals without an id count on new connections only.
-  if (SentAt < State.HealthTracker.health(EndpointId).UnnamedRefusalsUntil)
+  if (attempt.SentAt <
+      State.HealthTracker.health(attempt.EndpointId).UnnamedRefusalsUntil)
     return State.Connections.create();
   bool unsafe = Route->Kind == Fleet::RouteKind::Unsafe;
-  return State.Connections.acquire(PoolKey, unsafe ? SentAt - MaxIdleForUnsafe
-                                                   : Utils::TimePoint::min());
+  return State.Connections.acquire(attempt.PoolKey,
+                                   unsafe ? attempt.SentAt - MaxIdleForUnsafe
+                                          : Utils::TimePoint::min());
 }
 
-HttpIo::ResponseCallbacks Call::responseEvents() {
+HttpIo::ResponseCallbacks Call::responseEvents(const AttemptRef &attempt) {
   auto self = shared_from_this();
   HttpIo::ResponseCallbacks events;
-  events.OnHead = [self](const Http::ResponseHead &head,
-                         Http::Framing framing) {
-    return self->onHead(head, framing);
+  events.OnHead = [self, attempt](const Http::ResponseHead &head,
+                                  Http::Framing framing) {
+    return self->onHead(*attempt, head, framing);
+  };
+  events.OnBody = [self, attempt](std::string_view data) {
+    self->onBody(*attempt, data);
+  };
+  events.OnEnd = [self, attempt](HttpIo::ExchangeResult end) {
+    self->onEnd(*attempt, end);
   };
-  events.OnBody = [self](std::string_view data) { self->onBody(data); };
-  events.OnEnd = [self](HttpIo::ExchangeResult end) { self->onEnd(end); };
   return events;
 }
 
@@ -261,30 +268,33 @@
   return head.Status == StreamHead.Status && sameType;
 }
 
-HttpIo::HeadVerdict Call::onHead(const Http::ResponseHead &head,
+HttpIo::HeadVerdict Call::onHead(Attempt &attempt,
+                                 const Http::ResponseHead &head,
                                  Http::Framing framing) {
   ReplyMetadata reply = State.Clients.Calls.Reply(head);
-  Verdict = judgeReply(reply, {Metadata.Id, ConnectionReused});
-  if (Verdict == ReplyVerdict::OtherCall) {
-    logSkippedReply(reply.CallId, head.Status);
+  attempt.Verdict = judgeReply(reply, {Metadata.Id, attempt.ConnectionReused});
+  if (attempt.Verdict == ReplyVerdict::OtherCall) {
+    logSkippedReply(attempt, reply.CallId, head.Status);
     return HttpIo::HeadVerdict::Skip;
   }
-  if (isAnswer() && AnswerStarted && !continuesStream(head))
-    Verdict = ReplyVerdict::Unproven;
-  AnswerNamesCall = !reply.CallId.empty();
-  if (reply.NotExecuted && !AnswerNamesCall)
-    State.HealthTracker.noteUnnamedRefusal(EndpointId, Utils::BootClock::now());
-  State.applyNotice(EndpointId, reply.Notice);
-  NotExecuted = Verdict == ReplyVerdict::Refusal;
-  Head = head;
-  EndsWithConnection = framing == Http::Framing::Close;
-  if (isAnswer() && !reply.Notice.CallsPerSecond)
-    State.Coordination.noteEndpointLimit(EndpointId, std::nullopt);
-  if (isAnswer()) {
-    AnsweredAt = Utils::BootClock::now();
-    auto elapsed = *AnsweredAt - SentAt;
+  if (attempt.isAnswer() && AnswerStarted && !continuesStream(head))
+    attempt.Verdict = ReplyVerdict::Unproven;
+  attempt.AnswerNamesCall = !reply.CallId.empty();
+  if (reply.NotExecuted && !attempt.AnswerNamesCall)
+    State.HealthTracker.noteUnnamedRefusal(attempt.EndpointId,
+                                           Utils::BootClock::now());
+  State.applyNotice(attempt.EndpointId, reply.Notice);
+  attempt.NotExecuted = attempt.Verdict == ReplyVerdict::Refusal;
+  attempt.Head = head;
+  attempt.EndsWithConnection = framing == Http::Framing::Close;
+  if (attempt.isAnswer() && !reply.Notice.CallsPerSecond)
+    State.Coordination.noteEndpointLimit(attempt.EndpointId, std::nullopt);
+  if (attempt.isAnswer()) {
+    attempt.AnsweredAt = Utils::BootClock::now();
+    auto elapsed = *attempt.AnsweredAt - attempt.SentAt;
     State.HealthTracker.onFirstByte(
-        EndpointId, std::chrono::duration<double, std::milli>(elapsed).count());
+        attempt.EndpointId,
+        std::chrono::duration<double, std::milli>(elapsed).count());
     State.MetricsRegistry.observe(
         "hickory_gateway_first_byte_seconds",
         std::chrono::duration<double>(elapsed).count());
@@ -292,130 +302,133 @@
   return HttpIo::HeadVerdict::Accept;
 }
 
-void Call::logSkippedReply(const std::string &callId, unsigned status) const {
+void Call::logSkippedReply(const Attempt &attempt, const std::string &callId,
+                           unsigned status) const {
   State.MetricsRegistry.add("hickory_gateway_replies_skipped_total", "");
   Utils::Event("reply_skipped")
       .with("id", Metadata.Id)
-      .with("endpoint", EndpointId)
+      .with("endpoint", attempt.EndpointId)
       .with("of", callId)
       .with("status", status)
       .warning();
 }
 
-void Call::onBody(std::string_view data) {
-  Body += data;
-  if (isAnswer() && streams() && isSuccess(Head.Status) && !Done)
-    forwardEvents();
-  if (Body.size() > MaxAnswerBytes)
-    abortOversizedAnswer();
+void Call::onBody(Attempt &attempt, std::string_view data) {
+  attempt.Body += data;
+  if (attempt.isAnswer() && streams() && isSuccess(attempt.Head.Status) &&
+      !Done)
+    forwardEvents(attempt);
+  if (attempt.Body.size() > MaxAnswerBytes)
+    abortOversizedAnswer(attempt);
 }
 
 /// Aborts an exchange whose answer exceeds MaxAnswerBytes.
-void Call::abortOversizedAnswer() {
+void Call::abortOversizedAnswer(Attempt &attempt) {
   Utils::Event("answer_too_long")
       .with("id", Metadata.Id)
-      .with("endpoint", EndpointId)
-      .with("bytes", Body.size())
+      .with("endpoint", attempt.EndpointId)
+      .with("bytes", attempt.Body.size())
       .warning();
-  Connection->cancel();
-  Body.clear();
-  NotExecuted = false;
-  onSendFailed(Balance::AttemptResult::ConnectionFailed);
+  attempt.Connection->cancel();
+  attempt.Body.clear();
+  attempt.NotExecuted = false;
+  onSendFailed(attempt, Balance::AttemptResult::ConnectionFailed);
 }
 
 /// Forwards the complete events of the buffer to the caller.
-void Call::forwardEvents() {
-  size_t end = Body.rfind(EventTerminator);
+void Call::forwardEvents(Attempt &attempt) {
+  size_t end = attempt.Body.rfind(EventTerminator);
   if (end == std::string::npos)
     return;
   std::string_view events =
-      std::string_view(Body).substr(0, end + EventTerminator.size());
-  beginStream();
-  if (isAnswering())
-    recordAnswer();
+      std::string_view(attempt.Body).substr(0, end + EventTerminator.size());
+  beginStream(attempt);
+  if (isAnswering(attempt))
+    recordAnswer(attempt);
   Caller->streamData(events);
-  EventsForwarded = true;
+  attempt.EventsForwarded = true;
   if (std::string id = lastIdIn(events); !id.empty())
     LastEventId = id;
-  Body.erase(0, events.size());
+  attempt.Body.erase(0, events.size());
 }
 
-void Call::beginStream() {
+void Call::beginStream(const Attempt &attempt) {
   if (std::exchange(AnswerStarted, true))
     return;
-  StreamHead = Head;
-  Caller->beginStream(forwardedHead(Head));
+  StreamHead = attempt.Head;
+  Caller->beginStream(forwardedHead(attempt.Head));
 }
 
-void Call::onEnd(HttpIo::ExchangeResult end) {
+void Call::onEnd(Attempt &attempt, HttpIo::ExchangeResult end) {
   if (end == HttpIo::ExchangeResult::NotConnected) {
-    NotExecuted = true;
-    return onSendFailed(Balance::AttemptResult::ConnectionFailed);
+    attempt.NotExecuted = true;
+    return onSendFailed(attempt, Balance::AttemptResult::ConnectionFailed);
   }
   if (end != HttpIo::ExchangeResult::Complete) {
-    NotExecuted = false;
-    onBrokenOff();
-    return onSendFailed(Balance::AttemptResult::ConnectionFailed);
+    attempt.NotExecuted = false;
+    onBrokenOff(attempt);
+    return onSendFailed(attempt, Balance::AttemptResult::ConnectionFailed);
   }
-  if (isAnswer() || NotExecuted)
-    State.Connections.release(PoolKey, Connection);
+  if (attempt.isAnswer() || attempt.NotExecuted)
+    State.Connections.release(attempt.PoolKey, attempt.Connection);
   else // The answer to the call may still follow.
-    Connection->close();
-  if (NotExecuted) {
+    attempt.Connection->close();
+  if (attempt.NotExecuted) {
     if (needsModel())
-      State.Coordination.member().recordModelMiss(EndpointId, Metadata.Model,
-                                                  Metadata.Adapter,
-                                                  Utils::BootClock::now());
-    return onSendFailed(Balance::AttemptResult::Refused);
+      State.Coordination.member().recordModelMiss(
+          attempt.EndpointId, Metadata.Model, Metadata.Adapter,
+          Utils::BootClock::now());
+    return onSendFailed(attempt, Balance::AttemptResult::Refused);
   }
-  if (!isAnswer())
-    return onSendFailed(Balance::AttemptResult::ConnectionFailed);
-  if (isStreamCutOff()) {
-    onBrokenOff();
-    return onSendFailed(Balance::AttemptResult::ConnectionFailed);
+  if (!attempt.isAnswer())
+    return onSendFailed(attempt, Balance::AttemptResult::ConnectionFailed);
+  if (isStreamCutOff(attempt)) {
+    onBrokenOff(attempt);
+    return onSendFailed(attempt, Balance::AttemptResult::ConnectionFailed);
   }
   bool repeatable = Route->Kind == Fleet::RouteKind::Safe && !Done &&
-                    Head.Status >= 500 && RunsStarted < Route->Attempts &&
-                    State.retryBudget(Service).takeRetry(SentAt);
-  endSend(Balance::AttemptResult::Answered);
+                    attempt.Head.Status >= 500 &&
+                    RunsStarted < Route->Attempts &&
+                    State.retryBudget(Service).takeRetry(attempt.SentAt);
+  endSend(attempt, Balance::AttemptResult::Answered);
   if (repeatable)
     return dispatch();
-  completeAnswer();
+  completeAnswer(attempt);
 }
 
-bool Call::isStreamCutOff() const {
-  if (!streams() || !isSuccess(Head.Status))
+bool Call::isStreamCutOff(const Attempt &attempt) const {
+  if (!streams() || !isSuccess(attempt.Head.Status))
     return false;
-  bool hasNoEvent = !EventsForwarded && EndsWithConnection;
-  return !Body.empty() || hasNoEvent;
+  bool hasNoEvent = !attempt.EventsForwarded && attempt.EndsWithConnection;
+  return !attempt.Body.empty() || hasNoEvent;
 }
 
-void Call::completeAnswer() {
+void Call::completeAnswer(const Attempt &attempt) {
   if (Done)
     return;
-  if (!streams() || !isSuccess(Head.Status)) {
-    if (isSuccess(Head.Status))
-      recordAnswer();
-    Caller->respond(forwardedHead(Head), Body);
-    return finish("answered", Head.Status);
+  if (!streams() || !isSuccess(attempt.Head.Status)) {
+    if (isSuccess(attempt.Head.Status))
+      recordAnswer(attempt);
+    Caller->respond(forwardedHead(attempt.Head), attempt.Body);
+    return finish("answered", attempt.Head.Status);
   }
-  beginStream();
-  recordAnswer();
+  beginStream(attempt);
+  recordAnswer(attempt);
   Caller->endStream();
-  finish("answered", Head.Status);
+  finish("answered", attempt.Head.Status);
 }
 
-void Call::endSend(Balance::AttemptResult end) {
-  State.HealthTracker.onEnded(EndpointId, end, Utils::BootClock::now());
-  Connection.reset();
+void Call::endSend(Attempt &attempt, Balance::AttemptResult end) {
+  State.HealthTracker.onEnded(attempt.EndpointId, end, Utils::BootClock::now());
+  attempt.Connection.reset();
   if (Done)
     DeadlineTimer.cancel();
 }
 
-void Call::onSendFailed(Balance::AttemptResult end) {
-  if (NotExecuted)
+void Call::onSendFailed(Attempt &attempt, Balance::AttemptResult end) {
+  if (attempt.NotExecuted)
     --RunsStarted;
-  endSend(end);
+  endSend(attempt, end);
   if (Done)
     return;
   Balance::CallProgress progress;
@@ -423,7 +436,7 @@
   progress.Resumable = Route->Resumable;
   progress.RunsStarted = RunsStarted;
   progress.MaxRuns = Route->Attempts;
-  progress.NotExecuted = NotExecuted;
+  progress.NotExecuted = attempt.NotExecuted;
   progress.AnswerStarted = AnswerStarted;
   Utils::TimePoint now = Utils::BootClock::now();
   bool inTime = now + MinTimeToSend < Deadline;
@@ -435,22 +448,22 @@
       "end=\"" + std::string(Balance::attemptResultName(end)) + "\"");
   Utils::Event("send_failed")
       .with("id", Metadata.Id)
-      .with("endpoint", EndpointId)
+      .with("endpoint", attempt.EndpointId)
       .with("model", Metadata.Model)
       .with("adapter", Metadata.Adapter)
       .with("team", Team ? Team->Name : "")
       .with("parts", sharedPartIds(Metadata.Prompt))
       .with("end", Balance::attemptResultName(end))
-      .with("status", Head.Status)
-      .with("not_run", NotExecuted)
-      .with("verdict", replyVerdictName(Verdict))
-      .with("named", AnswerNamesCall)
-      .with("reused", ConnectionReused)
-      .with("sent_before", SentBefore)
+      .with("status", attempt.Head.Status)
+      .with("not_run", attempt.NotExecuted)
+      .with("verdict", replyVerdictName(attempt.Verdict))
+      .with("named", attempt.AnswerNamesCall)
+      .with("reused", attempt.ConnectionReused)
+      .with("sent_before", attempt.SentBefore)
       .with("in_time", inTime)
       .with("in_budget", inBudget)
       .with("next", Balance::recoveryActionName(next))
-      .with("ms", Utils::msBetween(SentAt, now))
+      .with("ms", Utils::msBetween(attempt.SentAt, now))
       .info();
   applyNextStep(next);
 }
