Send a second copy of slow calls of safe routes

A call that may be repeated waited for a slow endpoint until its deadline.

The first complete answer below 500 wins; the other copy's connection is closed without effect on its endpoint's health. When a copy fails, the other goes on. Streams are not hedged. The share is 0 until a flag sets it.

--- a/src/libs/gateway/attempt.h
+++ b/src/libs/gateway/attempt.h
@@ -33,6 +33,8 @@
   /// Events of the answer have been forwarded to the caller.
   bool EventsForwarded = false;
   std::string Body;
+  /// Second copy of a call whose first copy was in flight when it was sent.
+  bool IsHedge = false;
 
   bool isInFlight() const { return Connection != nullptr; }
   bool isAnswer() const { return Verdict == ReplyVerdict::Answer; }
--- a/src/libs/gateway/call.cpp
+++ b/src/libs/gateway/call.cpp
@@ -4,6 +4,8 @@
 #include "utils/digest.h"
 #include "utils/utils.h"
 
+#include <algorithm>
+
 namespace Gateway {
 
 namespace {
@@ -37,7 +39,8 @@
 Call::Call(GatewayState &state, HttpIo::ServerConnectionRef caller,
            Http::Request request)
     : State(state), Caller(std::move(caller)), Request(std::move(request)),
-      ArrivedAt(Utils::BootClock::now()), DeadlineTimer(state.Loop) {}
+      ArrivedAt(Utils::BootClock::now()), DeadlineTimer(state.Loop),
+      HedgeTimer(state.Loop) {}
 
 void Call::start() {
   if (!resolveRoute() || !authenticate() || refuseQuarantined())
@@ -114,6 +117,17 @@
   return true;
 }
 
+Balance::Candidate Call::candidateFor(const Fleet::Endpoint &endpoint) const {
+  const std::string &id = endpoint.Report.Id;
+  const auto &health = State.HealthTracker.health(id);
+  return {health.InFlight + State.Coordination.member().loadOfOtherGateways(id),
+          endpoint.Report.Slots,
+          health.AvoidUntil > PickedAt,
+          endpoint.Report.FailureDomain == State.Settings.FailureDomain,
+          TriedEndpoints.count(id) > 0,
+          std::max(health.CoolDownUntil, health.OverLimitUntil)};
+}
+
 double Call::tokenCost() const {
   if (!Team->CountsTokens)
     return 1;
@@ -181,6 +195,7 @@
   Done = true;
   State.ActiveCalls.erase(this);
   cancelTokenRequest();
+  HedgeTimer.cancel();
   if (RunsStarted == 0 && TokensTaken > 0)
     State.Coordination.member().refundTokens(Team->Name, TokensTaken);
   // If the caller has disconnected, the deadline still ends the exchange with
@@ -258,6 +273,7 @@
 void Call::endUnanswered(const EndOutcomes &outcomes,
                          Balance::AttemptResult attempt,
                          Utils::Milliseconds retryAfter) {
+  cancelHedge();
   if (Current->isInFlight()) {
     Current->Connection->cancel();
     endSend(*Current, Done ? Balance::AttemptResult::Cancelled : attempt);
@@ -276,6 +292,7 @@
 void Call::onCallerDisconnected() {
   if (Done)
     return;
+  cancelHedge();
   // A non-idempotent call is not cancelled at the endpoint: the caller could
   // not learn afterwards whether it was executed.
   if (Current->isInFlight() && Route->Kind != Fleet::RouteKind::Unsafe) {
--- a/src/libs/gateway/call.h
+++ b/src/libs/gateway/call.h
@@ -58,7 +58,8 @@
                       const Quota::Decision &decision);
   void startSending(const std::string &endpoint);
   AttemptRef beginAttempt(const std::string &endpoint);
-  void send(const Fleet::Endpoint &endpoint);
+  void send(const AttemptRef &sent, const Fleet::Endpoint &endpoint);
+  Balance::Candidate candidateFor(const Fleet::Endpoint &endpoint) const;
   HttpIo::ClientConnectionRef connectionForSend(const Attempt &attempt);
   HttpIo::ResponseCallbacks responseEvents(const AttemptRef &attempt);
   /// Whether an answer with this head may go on with the stream that another
@@ -86,6 +87,22 @@
   void recordAnswer(const Attempt &attempt);
   /// Refuses the call and returns true if its prompt parts are quarantined.
   bool refuseQuarantined();
+  bool isQuarantined(Utils::TimePoint now) const;
+  /// Whether the call may get a second copy when the first is slow.
+  bool mayHedge() const;
+  void noteFirstByte(const Attempt &attempt);
+  void startHedgeTimer(const AttemptRef &attempt);
+  /// The attempt has had no answer for longer than is usual on its route.
+  void onSlow(const AttemptRef &first);
+  Balance::SlowCall
+  describeSlow(const std::vector<const Fleet::Endpoint *> &eligible);
+  void sendHedge(const Fleet::Endpoint &endpoint);
+  /// Removes an attempt that has ended. Returns whether the call's other copy
+  /// is in flight.
+  bool leaveToOtherCopy(const Attempt &ended);
+  /// Cancels the copy of the call that has not won.
+  void endOtherCopy(const Attempt &winner);
+  void cancelHedge();
   void applyNextStep(Balance::RecoveryAction next);
   void endBetweenSends(std::string_view reason,
                        std::optional<Utils::Milliseconds> retryAfter);
@@ -124,6 +141,9 @@
 
   /// The latest attempt; its endpoint is empty before the first.
   AttemptRef Current = std::make_shared<Attempt>();
+  /// The second copy; null unless both are in flight.
+  AttemptRef Hedge;
+  HttpIo::Timer HedgeTimer;
   /// When an endpoint was last picked.
   Utils::TimePoint PickedAt;
 
--- a/src/libs/gateway/callcrash.cpp
+++ b/src/libs/gateway/callcrash.cpp
@@ -21,6 +21,12 @@
   State.Coordination.member().recordAnswer(SharedParts, *attempt.AnsweredAt);
 }
 
+bool Call::isQuarantined(Utils::TimePoint now) const {
+  return State.Coordination.member()
+      .quarantinedUntil(SharedParts, now)
+      .has_value();
+}
+
 bool Call::refuseQuarantined() {
   Utils::TimePoint now = Utils::BootClock::now();
   auto until = State.Coordination.member().quarantinedUntil(SharedParts, now);
--- a/src/libs/gateway/callsend.cpp
+++ b/src/libs/gateway/callsend.cpp
@@ -104,13 +104,7 @@
     if (PickedAt < health.OverLimitUntil)
       WithinLimitAt = std::min(WithinLimitAt.value_or(health.WithinLimitAt),
                                health.WithinLimitAt);
-    candidates.push_back(
-        {health.InFlight +
-             State.Coordination.member().loadOfOtherGateways(it->Report.Id),
-         it->Report.Slots, health.AvoidUntil > PickedAt,
-         it->Report.FailureDomain == State.Settings.FailureDomain,
-         TriedEndpoints.count(it->Report.Id) > 0,
-         std::max(health.CoolDownUntil, health.OverLimitUntil)});
+    candidates.push_back(candidateFor(*it));
   }
   BackoffEnd = Balance::earliestCoolDownEnd(candidates, PickedAt);
   auto chosen = Balance::choose(candidates, PickedAt, State.Random);
@@ -159,9 +153,14 @@
   if (QueuedSince != Utils::TimePoint{})
     QueuedFor += std::chrono::duration_cast<Utils::Milliseconds>(
         PickedAt - std::exchange(QueuedSince, {}));
-  if (Sends == 0)
+  if (Sends == 0) {
     State.retryBudget(Service).onFirstAttempt(PickedAt);
-  send(*State.FleetView.endpoints().find(endpoint));
+    State.hedgeBudget(Service).onFirstSend();
+  }
+  // Held here, as a send that fails may begin another attempt.
+  AttemptRef attempt = beginAttempt(endpoint);
+  Current = attempt;
+  send(attempt, *State.FleetView.endpoints().find(endpoint));
 }
 
 void Call::wait() {
@@ -198,10 +197,7 @@
   return attempt;
 }
 
-void Call::send(const Fleet::Endpoint &endpoint) {
-  Current = beginAttempt(endpoint.Report.Id);
-  // A failed send may begin another attempt.
-  AttemptRef sent = Current;
+void Call::send(const AttemptRef &sent, const Fleet::Endpoint &endpoint) {
   Attempt &attempt = *sent;
   std::error_code ec;
   auto address = HttpIo::parseEndpoint(endpoint.Report.Address, ec);
@@ -227,6 +223,8 @@
       address,
       Http::serializeRequest(State.Clients.Calls.Forward(Request, metadata)),
       responseEvents(sent));
+  if (!attempt.IsHedge)
+    startHedgeTimer(sent);
 }
 
 HttpIo::ClientConnectionRef Call::connectionForSend(const Attempt &attempt) {
@@ -298,6 +296,7 @@
     State.MetricsRegistry.observe(
         "hickory_gateway_first_byte_seconds",
         std::chrono::duration<double>(elapsed).count());
+    noteFirstByte(attempt);
   }
   return HttpIo::HeadVerdict::Accept;
 }
@@ -386,13 +385,21 @@
     onBrokenOff(attempt);
     return onSendFailed(attempt, Balance::AttemptResult::ConnectionFailed);
   }
+  constexpr unsigned serverError = 500;
+  if (Hedge && attempt.Head.Status >= serverError) {
+    // The other copy may still bring a good answer.
+    endSend(attempt, Balance::AttemptResult::Answered);
+    leaveToOtherCopy(attempt);
+    return;
+  }
   bool repeatable = Route->Kind == Fleet::RouteKind::Safe && !Done &&
-                    attempt.Head.Status >= 500 &&
+                    attempt.Head.Status >= serverError &&
                     RunsStarted < Route->Attempts &&
                     State.retryBudget(Service).takeRetry(attempt.SentAt);
   endSend(attempt, Balance::AttemptResult::Answered);
   if (repeatable)
     return dispatch();
+  endOtherCopy(attempt);
   completeAnswer(attempt);
 }
 
@@ -431,6 +438,7 @@
   endSend(attempt, end);
   if (Done)
     return;
+  bool otherInFlight = leaveToOtherCopy(attempt);
   Balance::CallProgress progress;
   progress.Kind = Route->Kind;
   progress.Resumable = Route->Resumable;
@@ -440,7 +448,8 @@
   progress.AnswerStarted = AnswerStarted;
   Utils::TimePoint now = Utils::BootClock::now();
   bool inTime = now + MinTimeToSend < Deadline;
-  bool inBudget = inTime && State.retryBudget(Service).takeRetry(now);
+  bool inBudget =
+      inTime && !otherInFlight && State.retryBudget(Service).takeRetry(now);
   progress.RetryPermitted = inBudget;
   Balance::RecoveryAction next = Balance::recoveryAction(progress);
   State.MetricsRegistry.add(
@@ -462,10 +471,12 @@
       .with("sent_before", attempt.SentBefore)
       .with("in_time", inTime)
       .with("in_budget", inBudget)
-      .with("next", Balance::recoveryActionName(next))
+      .with("next",
+            otherInFlight ? "other_copy" : Balance::recoveryActionName(next))
       .with("ms", Utils::msBetween(attempt.SentAt, now))
       .info();
-  applyNextStep(next);
+  if (!otherInFlight)
+    applyNextStep(next);
 }
 
 void Call::applyNextStep(Balance::RecoveryAction next) {
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -68,13 +68,19 @@
   Utils::TimePoint KeysTrustedUntil{};
 
   Balance::RetryBudget &retryBudget(const std::string &service);
+  Balance::HedgeBudget &hedgeBudget(const std::string &service);
   /// Applies the status that an endpoint reported in a response.
   void applyNotice(const std::string &endpoint, const EndpointNotice &notice);
   /// Ends all calls that have no final answer yet, for a planned stop.
   void endActiveCalls();
 
+  /// Times to first byte of the routes whose calls may get a second copy, by
+  /// name.
+  std::map<std::string, Balance::FirstByteTimes> FirstByteTimes;
+
 private:
   Balance::RetryBudget::Policy retryPolicy() const;
+  std::map<std::string, Balance::HedgeBudget> HedgeBudgets;
 };
 
 /// The gateway process of one VM: its listeners, feeds and shutdown.
--- a/src/libs/gateway/gatewaysettings.h
+++ b/src/libs/gateway/gatewaysettings.h
@@ -64,6 +64,9 @@
   double LoadOvershoot = 1;
   /// Interval between reports of an endpoint.
   Milliseconds ReportInterval{1200};
+  /// Second copies of slow calls, as a share of the first sends of a service; 0
+  /// sends none.
+  double HedgeShare = 0;
 };
 
 } // namespace Gateway
--- a/src/libs/gateway/process.cpp
+++ b/src/libs/gateway/process.cpp
@@ -72,6 +72,10 @@
   return added.first->second;
 }
 
+Balance::HedgeBudget &GatewayState::hedgeBudget(const std::string &service) {
+  return HedgeBudgets.try_emplace(service, Settings.HedgeShare).first->second;
+}
+
 void GatewayState::applyNotice(const std::string &endpoint,
                                const EndpointNotice &notice) {
   const Fleet::Endpoint *known = FleetView.endpoints().find(endpoint);
