--- a/src/libs/gateway/calllimit.cpp
+++ b/src/libs/gateway/calllimit.cpp
@@ -16,7 +16,7 @@
 } // namespace
 
 bool Call::sendWithinLimit(const std::string &endpoint) {
-  if (!State.Coordination.member().hasLimit(endpoint, SentAt)) {
+  if (!State.Coordination.member().hasLimit(endpoint, PickedAt)) {
     startSending(endpoint);
     return true;
   }
@@ -36,13 +36,13 @@
 
 void Call::onEndpointLimitDecided(const Quota::Decision &decision) {
   std::string id = std::exchange(ReservedEndpoint, {});
-  SentAt = Utils::BootClock::now();
+  PickedAt = Utils::BootClock::now();
   if (!decision.isAdmitted()) {
     pauseOverLimit(id, decision);
     return dispatch();
   }
   const Fleet::Endpoint *endpoint = State.FleetView.endpoints().find(id);
-  if (endpoint && isEligible(*endpoint) && Deadline - SentAt >= MinTimeToSend)
+  if (endpoint && isEligible(*endpoint) && Deadline - PickedAt >= MinTimeToSend)
     return startSending(id);
   State.Coordination.member().refundTokens(
       FleetLink::endpointLimitName(FleetLink::hashName(id)), 1);
@@ -53,11 +53,11 @@
 /// ends.
 void Call::pauseOverLimit(const std::string &endpoint,
                           const Quota::Decision &decision) {
-  Utils::TimePoint retryAt = SentAt + *decision.RetryAfter;
-  if (auto end = State.Coordination.member().endOfLimit(endpoint, SentAt))
+  Utils::TimePoint retryAt = PickedAt + *decision.RetryAfter;
+  if (auto end = State.Coordination.member().endOfLimit(endpoint, PickedAt))
     retryAt = std::min(retryAt, *end);
   State.HealthTracker.setOverLimit(
-      endpoint, std::min(retryAt, SentAt + MaxOverLimitPause), retryAt);
+      endpoint, std::min(retryAt, PickedAt + MaxOverLimitPause), retryAt);
 }
 
 } // namespace Gateway
--- a/src/libs/gateway/gatewaysettings.h
+++ b/src/libs/gateway/gatewaysettings.h
@@ -79,6 +79,9 @@
   double ColdSlack = 5;
   /// Time within which a new configuration must be in force.
   Milliseconds ConfigurationApply{2000};
+  /// Second copies of slow calls, as a share of the first sends of a service; 0
+  /// sends none.
+  double HedgeShare = 0;
 };
 
 } // namespace Gateway
