Let operators set the share of hedged requests

The gateway could send second copies of slow calls, but nothing set their share.

--hedge_share of hickoryspring gateway sets it, 0 to 0.2, default 0. Any other value is refused as wrong usage.

--- a/src/app/commandline.cpp
+++ b/src/app/commandline.cpp
@@ -11,6 +11,10 @@
 ABSL_FLAG(std::string, id, "", "explain: id of the request");
 ABSL_FLAG(uint16_t, metrics_port, 9464,
           "gateway: metrics port on the VM's address; 0 disables it");
+ABSL_FLAG(
+    double, hedge_share, 0,
+    "gateway: second copies of slow calls, as a share of all first sends, "
+    "0 to 0.2; 0 sends none");
 ABSL_FLAG(bool, json, false, "print machine-readable JSON");
 ABSL_FLAG(bool, delete_missing, false,
           "import: delete rows that the sheet leaves out");
@@ -22,7 +26,7 @@
 const std::vector<Command> &commands() {
   static const std::vector<Command> table = {
       {"serve", "serve --settings FILE", "run a daemon", runServe},
-      {"gateway", "gateway [--metrics_port N]",
+      {"gateway", "gateway [--metrics_port N] [--hedge_share SHARE]",
        "run a gateway on a VM of the platform, with the settings file that "
        "HICKORYSPRING_CONFIG names",
        runGateway},
@@ -55,7 +59,7 @@
     return helpText("");
   return "usage:\n" + text +
          "flags: --settings --table --actor --admin --id --json "
-         "--metrics_port "
+         "--metrics_port --hedge_share "
          "--delete_missing "
          "--reference\n"
          "exit codes: 0 done, 1 refused or faulty, 2 wrong usage, 3 no "
--- a/src/app/gatewaycommand.cpp
+++ b/src/app/gatewaycommand.cpp
@@ -19,6 +19,10 @@
 ExitCode runGateway(const Arguments &arguments) {
   if (!arguments.empty())
     return usageError("gateway takes no argument: " + arguments.front());
+  double hedgeShare = absl::GetFlag(FLAGS_hedge_share);
+  // Written so that it also refuses what is not a number.
+  if (!(hedgeShare >= 0 && hedgeShare <= Balance::MaxHedgeShare))
+    return usageError("--hedge_share must lie between 0 and 0.2");
   const char *path = std::getenv(Platform::SettingsVariable);
   if (!path)
     return usageError("the environment variable HICKORYSPRING_CONFIG is not "
@@ -29,6 +33,7 @@
     return ExitCode::Refused;
   }
   settings.value().MetricsPort = absl::GetFlag(FLAGS_metrics_port);
+  settings.value().HedgeShare = hedgeShare;
   std::signal(SIGPIPE, SIG_IGN);
   std::signal(SIGHUP, SIG_IGN);
   Utils::EventLog log(STDOUT_FILENO, settings->VmName);
