Relay the operators' records to gateways that the store rejects

Such a gateway knew from heartbeats that it lacked records, and rejected all calls with keys once its own read was 4.5 s old. Keys are trusted as long after that read as before. An answer of the store that was in flight meanwhile is dropped.

With revoke_ms of 2 s, a gateway without a store serves keyed calls for 4 s after a new configuration, and rejects a withdrawn key within the bound; both tests fail without the request. Cut off from both it rejects calls.

--- a/src/libs/gateway/fleetagent.cpp
+++ b/src/libs/gateway/fleetagent.cpp
@@ -71,7 +71,8 @@
       Duty(Ctx.Loop, Ctx.PlatformStore, Ctx.Settings.VmName, Address,
            Ctx.Settings.DutyHandover),
       Link(Ctx.Loop), ReportTimer(Ctx.Loop), TokenTimer(Ctx.Loop),
-      Strength(computeStrength(Ctx.Settings)) {
+      Strength(computeStrength(Ctx.Settings)), Incarnation(randomNumber()),
+      OperatorsRecords(Ctx.Settings.LinkMbps), TransferTimer(Ctx.Loop) {
   constexpr uint8_t unknown = 255;
   Duty.setClaimDelay(claimDelay(Strength, unknown) / 2);
   Duty.OnChange = [this] { onDutyChange(); };
@@ -91,6 +92,12 @@
                 FleetLink::encode(Holder->handleGrantRequest(request)));
   };
   Link.OnGrant = [this](const FleetLink::Grant &grant) { handleGrant(grant); };
+  Link.OnRecordRequest = [this](const FleetLink::RecordRequest &request) {
+    handleRecordRequest(request);
+  };
+  Link.OnRecordFragment = [this](const FleetLink::RecordFragment &fragment) {
+    handleRecordFragment(fragment);
+  };
 }
 
 Utils::Status FleetAgent::start() {
@@ -366,6 +373,59 @@
     Holder->onConfiguration();
 }
 
+void FleetAgent::noteOperatorsRecords(const std::vector<TopicRecord> &records,
+                                      bool isSnapshot) {
+  OperatorsRecords.apply(records, isSnapshot);
+}
+
+void FleetAgent::handleRecordRequest(const FleetLink::RecordRequest &request) {
+  StoreReadProgress read = Ctx.ReadProgress();
+  if (!Holder || read.OperatorsAsOf == Utils::TimePoint{})
+    return;
+  auto fragment = OperatorsRecords.answer(
+      request, read.OperatorsNext, read.OperatorsAsOf, Utils::BootClock::now());
+  if (fragment)
+    Link.send(request.Address, FleetLink::encode(*fragment));
+}
+
+void FleetAgent::relayRecords(bool lacking) {
+  if (!lacking || Holder)
+    return OperatorsTransfer.cancel();
+  if (OperatorsTransfer.isActive())
+    return;
+  OperatorsTransfer.start(Utils::BootClock::now());
+  sendRecordRequest();
+}
+
+/// Sends the next request of the transfer, and repeats it while its answer does
+/// not come. Each goes to the holder of that moment.
+void FleetAgent::sendRecordRequest() {
+  if (!OperatorsTransfer.isActive())
+    return;
+  auto request = OperatorsTransfer.makeRequest(Utils::BootClock::now());
+  if (request && !LastHolderAddress.empty()) {
+    request->Address = Address;
+    request->Incarnation = Incarnation;
+    Link.send(LastHolderAddress, FleetLink::encode(*request));
+  }
+  TransferTimer.expires_at(OperatorsTransfer.nextRequestAt());
+  TransferTimer.async_wait([this](const std::error_code &ec) {
+    if (!ec)
+      sendRecordRequest();
+  });
+}
+
+void FleetAgent::handleRecordFragment(
+    const FleetLink::RecordFragment &fragment) {
+  if (fragment.Incarnation != Incarnation)
+    return;
+  auto records =
+      OperatorsTransfer.handleFragment(fragment, Utils::BootClock::now());
+  if (records)
+    return OnRelayedRecords(*records);
+  sendRecordRequest();
+}
+
 void FleetAgent::leave() {
   Leaving = true;
   Duty.release();
--- a/src/libs/gateway/fleetagent.h
+++ b/src/libs/gateway/fleetagent.h
@@ -6,6 +6,7 @@
 #include "gateway/fleetholder.h"
 #include "gateway/fleetmember.h"
 #include "gateway/memberlink.h"
+#include "gateway/recordrelay.h"
 
 namespace Gateway {
 
@@ -58,6 +59,12 @@
   void onConfiguration();
   /// A call to the store was answered or has failed.
   void noteStoreCall(bool answered);
+  /// Operators' records were read or relayed; see RecordSource::apply().
+  void noteOperatorsRecords(const std::vector<TopicRecord> &records,
+                            bool isSnapshot);
+  /// Requests the operators' records from the holder if `lacking`, and
+  /// otherwise ends a transfer of them.
+  void relayRecords(bool lacking);
   /// Gives up the duty and reports that this gateway leaves the fleet.
   void leave();
 
@@ -66,6 +73,9 @@
   /// Number of gateways by the holder's latest heartbeat; 0 before the first.
   uint32_t members() const { return Self.members(); }
 
+  /// Called when the holder has relayed the operators' records.
+  std::function<void(const RelayedRecords &)> OnRelayedRecords;
+
 private:
   void report();
   void reportWithin(Utils::Milliseconds delay);
@@ -74,6 +84,9 @@
   void watchGrantRequests();
   void handleGrant(const FleetLink::Grant &grant);
   void onDutyRecordRead();
+  void handleRecordRequest(const FleetLink::RecordRequest &request);
+  void handleRecordFragment(const FleetLink::RecordFragment &fragment);
+  void sendRecordRequest();
   void reportAfter(Utils::Milliseconds delay);
   void send(const std::string &address, const FleetLink::Heartbeat &heartbeat);
   void handleHeartbeat(const FleetLink::Heartbeat &heartbeat);
@@ -107,6 +120,10 @@
   std::string LastHolderAddress;
   bool Leaving = false;
   std::unique_ptr<FleetHolder> Holder;
+  uint64_t Incarnation;
+  RecordSource OperatorsRecords;
+  RecordTransfer OperatorsTransfer;
+  HttpIo::Timer TransferTimer;
 };
 
 } // namespace Gateway
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -100,6 +100,8 @@
                        Utils::TimePoint reportedAt);
   void applyEntries(const FleetLink::Heartbeat &heartbeat);
   void removeUnlisted(Utils::TimePoint asOf);
+  void applyOperators(const std::vector<TopicRecord> &records, bool isSnapshot);
+  void applyRelayed(const RelayedRecords &relayed);
   void applyLimits();
   void runHousekeeping();
   void awaitSignals();
--- a/src/libs/gateway/memberlink.cpp
+++ b/src/libs/gateway/memberlink.cpp
@@ -69,6 +69,12 @@
     OnGrantRequest(std::move(*request));
   else if (auto *grant = std::get_if<FleetLink::Grant>(&datagram.value()))
     OnGrant(std::move(*grant));
+  else if (auto *wanted =
+               std::get_if<FleetLink::RecordRequest>(&datagram.value()))
+    OnRecordRequest(std::move(*wanted));
+  else if (auto *fragment =
+               std::get_if<FleetLink::RecordFragment>(&datagram.value()))
+    OnRecordFragment(std::move(*fragment));
 }
 
 } // namespace Gateway
--- a/src/libs/gateway/memberlink.h
+++ b/src/libs/gateway/memberlink.h
@@ -23,6 +23,8 @@
   std::function<void(FleetLink::Heartbeat)> OnHeartbeat;
   std::function<void(FleetLink::GrantRequest)> OnGrantRequest;
   std::function<void(FleetLink::Grant)> OnGrant;
+  std::function<void(FleetLink::RecordRequest)> OnRecordRequest;
+  std::function<void(FleetLink::RecordFragment)> OnRecordFragment;
 
 private:
   void receive();
--- a/src/libs/gateway/process.cpp
+++ b/src/libs/gateway/process.cpp
@@ -112,8 +112,8 @@
                          },
                          {},
                          maxAgeBeforeRead(State.Settings.ConfigurationApply)},
-                        [this](const auto &records, bool) {
-                          State.FleetView.applyOperators(records);
+                        [this](const auto &records, bool isSnapshot) {
+                          applyOperators(records, isSnapshot);
                         }),
       EndpointFeed(loop, State.Clients.PlatformStore,
                    {Topic::Endpoints, [] { return milliseconds(0); },
@@ -147,6 +147,9 @@
   State.OnHeartbeat = [this](const auto &heartbeat, auto reportedAt) {
     onHeartbeat(heartbeat, reportedAt);
   };
+  State.Coordination.OnRelayedRecords = [this](const auto &records) {
+    applyRelayed(records);
+  };
   *State.Clients.Engines.Notices = [this](const auto &endpoint,
                                           const auto &notice) {
     State.applyNotice(endpoint, notice);
@@ -283,6 +286,8 @@
   ConfigurationFeed.noteHolderOffset(
       heartbeat.OperatorsNext,
       reportedAt - milliseconds(heartbeat.OperatorsAgeMs), reportedAt);
+  State.Coordination.relayRecords(
+      ConfigurationFeed.lacksHolderRecords(Utils::BootClock::now()));
   Utils::TimePoint asOf = reportedAt - milliseconds(heartbeat.EndpointsAgeMs);
   if (!State.Coordination.member().hasCompleteTable())
     return EndpointFeed.awaitHolderSnapshot(asOf, reportedAt);
@@ -291,6 +296,26 @@
   EndpointFeed.noteHolderSnapshot(asOf, reportedAt);
 }
 
+void Process::applyOperators(const std::vector<TopicRecord> &records,
+                             bool isSnapshot) {
+  State.Coordination.noteOperatorsRecords(records, isSnapshot);
+  State.FleetView.applyOperators(records, isSnapshot);
+}
+
+void Process::applyRelayed(const RelayedRecords &relayed) {
+  if (!ConfigurationFeed.noteRelayed(relayed.Next, relayed.AsOf))
+    return;
+  Utils::TimePoint now = Utils::BootClock::now();
+  State.MetricsRegistry.add("hickory_gateway_relayed_reads_total", "");
+  Utils::Event("records_relayed")
+      .with("records", relayed.Records.size())
+      .with("next", relayed.Next)
+      .with("age_ms", Utils::msBetween(relayed.AsOf, now))
+      .with("ms", Utils::msBetween(relayed.RequestedAt, now))
+      .info();
+  applyOperators(relayed.Records, true);
+}
+
 void Process::applyEntries(const FleetLink::Heartbeat &heartbeat) {
   Utils::TimePoint now = Utils::BootClock::now();
   for (const FleetLink::EndpointEntry &it : heartbeat.Entries)
--- a/src/libs/gateway/topicfeed.cpp
+++ b/src/libs/gateway/topicfeed.cpp
@@ -32,8 +32,13 @@
   Utils::TimePoint now = Utils::BootClock::now();
   if (!Complete)
     return readPage(now);
-  auto done = [this, now](const Utils::Outcome<TopicRead> &result) {
+  auto done = [this, now,
+               from = Next](const Utils::Outcome<TopicRead> &result) {
     Reading = false;
+    // The holder's records were applied meanwhile: this answer is older.
+    bool isAnswer = result || result.error().Code == Utils::Errc::OutOfRange;
+    if (isAnswer && from != Next)
+      return readAfter(Utils::Milliseconds(0));
     if (!result)
       return onFailure(result.error());
     onRead(*result, now, false);
@@ -155,6 +160,10 @@
 
 void TopicFeed::noteHolderOffset(uint64_t next, Utils::TimePoint asOf,
                                  Utils::TimePoint reportedAt) {
+  if (Complete && Next >= next)
+    BehindSince.reset();
+  else if (!BehindSince)
+    BehindSince = Utils::BootClock::now();
   if (!Complete || asOf + MaxRelayedAge < reportedAt)
     return;
   if (Next >= next)
@@ -164,6 +173,22 @@
   read();
 }
 
+bool TopicFeed::lacksHolderRecords(Utils::TimePoint now) const {
+  return BehindSince &&
+         (Failures > 0 || now >= *BehindSince + SlowStoreLatency);
+}
+
+bool TopicFeed::noteRelayed(uint64_t next, Utils::TimePoint asOf) {
+  if (Complete && Next >= next)
+    return false;
+  restartSnapshot();
+  Complete = true;
+  Next = next;
+  CompleteUntil = std::max(CompleteUntil, asOf);
+  BehindSince.reset();
+  return true;
+}
+
 void TopicFeed::resume() {
   NotBefore = {};
   if (!Reading)
--- a/src/libs/gateway/topicfeed.h
+++ b/src/libs/gateway/topicfeed.h
@@ -40,6 +40,13 @@
   /// otherwise postpones the next read.
   void noteHolderOffset(uint64_t next, Utils::TimePoint asOf,
                         Utils::TimePoint reportedAt);
+  /// Whether this gateway lacks records that the holder has read, and its own
+  /// read has failed or is overdue.
+  bool lacksHolderRecords(Utils::TimePoint now) const;
+  /// The holder has relayed the whole topic up to offset `next`, which was its
+  /// end at `asOf`. Returns false, and changes nothing, if this gateway has
+  /// read as much itself.
+  bool noteRelayed(uint64_t next, Utils::TimePoint asOf);
   /// The holder has sent all that the topic held at `asOf`: postpones the next
   /// read, which reads a snapshot.
   void noteHolderSnapshot(Utils::TimePoint asOf, Utils::TimePoint reportedAt);
@@ -93,6 +100,9 @@
   /// No read starts before this point, however the last one ended.
   Utils::TimePoint NotBefore{};
   Utils::TimePoint CompleteUntil{};
+  /// Since when the holder is known to have read more than this gateway; none
+  /// while it has not.
+  std::optional<Utils::TimePoint> BehindSince;
 };
 
 } // namespace Gateway
--- a/src/libs/gateway/view.cpp
+++ b/src/libs/gateway/view.cpp
@@ -29,7 +29,8 @@
 
 View::View(const Store &store) : Source(store) {}
 
-void View::applyOperators(const std::vector<TopicRecord> &records) {
+void View::applyOperators(const std::vector<TopicRecord> &records,
+                          bool /*isSnapshot*/) {
   for (const TopicRecord &it : records)
     if (it.Key == Source.ConfigurationKey && it.Value)
       applyConfiguration(*it.Value);
--- a/src/libs/gateway/view.h
+++ b/src/libs/gateway/view.h
@@ -14,7 +14,8 @@
 public:
   explicit View(const Store &store);
 
-  void applyOperators(const std::vector<TopicRecord> &records);
+  /// `isSnapshot`: the records are the whole topic, not an addition.
+  void applyOperators(const std::vector<TopicRecord> &records, bool isSnapshot);
   /// `isSnapshot`: endpoints without a record are removed.
   void applyEndpoints(const std::vector<TopicRecord> &records, bool isSnapshot,
                       Utils::TimePoint now);
--- a/tests/auto/gateway/gatewayfixture.cpp
+++ b/tests/auto/gateway/gatewayfixture.cpp
@@ -111,6 +111,7 @@
 Gateway::TopicRead GatewayFixture::recordsOf(Gateway::Topic topic) const {
   Gateway::TopicRead read;
   if (topic == Gateway::Topic::Operators) {
+    read.Next = OperatorsEnd;
     read.Records.push_back({"config", "text"});
     return read;
   }
--- a/tests/auto/gateway/gatewayfixture.h
+++ b/tests/auto/gateway/gatewayfixture.h
@@ -149,6 +149,8 @@
   /// Whether the store appends records of the duty also for gateways whose
   /// reads it does not answer.
   bool DutyAnswers = false;
+  /// End of the operators' topic.
+  uint64_t OperatorsEnd = 0;
   /// Called after the store has answered a read of the gateway that runs on
   /// that loop.
   std::function<void(const asio::io_context &, Gateway::Topic)> OnStoreRead;
--- a/tests/auto/takeover/tst_takeover.cpp
+++ b/tests/auto/takeover/tst_takeover.cpp
@@ -100,6 +100,29 @@
   }
 };
 
+/// A gateway that the store rejects beside a holder that reads the store. Calls
+/// need the key of a team.
+struct RelayFixture : TakeoverFixture {
+  RelayFixture() {
+    Settings.KeyRevocation = 2s;
+    Config.Teams.emplace_back();
+    Config.Teams[0].Name = "kitchen";
+    writeKeys({"k"});
+    startFollower();
+    while (statusWith("k") != 200)
+      waitFor(20ms);
+    StoreAnswers = false;
+  }
+  void writeKeys(std::vector<std::string> keys) {
+    Config.Teams[0].Keys = std::move(keys);
+    ++Config.Version;
+    ++OperatorsEnd;
+  }
+  unsigned statusWith(const std::string &key) {
+    return statusOf(call("/unsafe/", "Credential: " + key + "\r\n"));
+  }
+};
+
 /// Three gateways of which two are killed and started again at random, while
 /// entries of the store drain and go. The store fails the third one at times.
 struct RandomTakeoverFixture : FollowerFixture {
@@ -368,6 +391,42 @@
   CHECK(ownReads == 0);
 }
 
+// Such a gateway knew that it lacked records and rejected all calls with keys.
+TEST_CASE_FIXTURE(RelayFixture,
+                  "gateway that the store rejects applies new records that the "
+                  "holder relays and goes on serving calls with keys") {
+  writeKeys({"k", "k2"});
+  Utils::TimePoint writtenAt = Utils::BootClock::now();
+  while (Utils::BootClock::now() < writtenAt + 2 * Settings.KeyRevocation) {
+    REQUIRE(statusWith("k") == 200);
+    waitFor(50ms);
+  }
+  CHECK(statusWith("k2") == 200);
+  CHECK(metric("hickory_gateway_relayed_reads_total") == 1);
+}
+
+TEST_CASE_FIXTURE(RelayFixture,
+                  "withdrawn key is rejected in time at a gateway that the "
+                  "store rejects, and other keys are not") {
+  writeKeys({"k2"});
+  Utils::TimePoint writtenAt = Utils::BootClock::now();
+  while (statusWith("k") != 401) {
+    waitFor(20ms);
+    REQUIRE(Utils::BootClock::now() < writtenAt + Settings.KeyRevocation);
+  }
+  CHECK(statusWith("k2") == 200);
+}
+
+TEST_CASE_FIXTURE(RelayFixture,
+                  "gateway that reaches neither the store nor the holder "
+                  "rejects calls with keys in time") {
+  writeKeys({"k2"});
+  killOther("holder");
+  waitFor(Settings.KeyRevocation);
+  CHECK(statusWith("k") == 503);
+  CHECK(statusWith("k2") == 503);
+}
+
 TEST_CASE("gateway follows the store after random ends and starts of the "
           "others while entries change") {
   constexpr uint64_t seeds = 4;
--- a/tests/auto/topicfeed/tst_topicfeed.cpp
+++ b/tests/auto/topicfeed/tst_topicfeed.cpp
@@ -137,6 +137,36 @@
   CHECK(Snapshots.size() == 1);
 }
 
+// The answer to an older read would undo newer records.
+TEST_CASE_FIXTURE(PagedTopic,
+                  "feed that gets relayed records while a read is in flight "
+                  "drops its answer and continues from their offset") {
+  LogEnd = End + 3;
+  runUntil([this] { return ReadFrom > 0; });
+  size_t before = CompleteAtLogRead.size();
+  CHECK(Feed.noteRelayed(LogEnd, Utils::BootClock::now()));
+  CHECK_FALSE(Feed.noteRelayed(LogEnd, Utils::BootClock::now()));
+  runUntil([this] { return ReadFrom >= LogEnd; });
+  CHECK(CompleteAtLogRead.size() == before);
+  CHECK(Feed.next() == LogEnd);
+}
+
+TEST_CASE_FIXTURE(PagedTopic,
+                  "feed lacks the holder's records only after its own read has "
+                  "failed or is overdue") {
+  runUntil([this] { return ReadFrom > 0; });
+  // Reads are never answered from here on.
+  FakeStore.ReadFrom = [](Topic, uint64_t, Utils::Milliseconds,
+                          Utils::TimePoint, const Store::ReadDone &) {};
+  Utils::TimePoint now = Utils::BootClock::now();
+  CHECK_FALSE(Feed.lacksHolderRecords(now + 1h));
+  Feed.noteHolderOffset(Feed.next() + 1, now, now);
+  CHECK_FALSE(Feed.lacksHolderRecords(Utils::BootClock::now()));
+  CHECK(Feed.lacksHolderRecords(Utils::BootClock::now() + 1s));
+  CHECK(Feed.noteRelayed(Feed.next() + 1, now));
+  CHECK_FALSE(Feed.lacksHolderRecords(Utils::BootClock::now() + 1s));
+}
+
 // Issue 38: what was still to be read counted as read.
 TEST_CASE_FIXTURE(PagedTopic,
                   "feed is complete only when the last of several log reads "
