--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -106,6 +106,8 @@
                        Utils::TimePoint reportedAt);
   void applyEntries(const FleetLink::Heartbeat &heartbeat);
   void removeUnlisted(Utils::TimePoint asOf);
+  void applyOperators(const std::vector<TopicRecord> &records, bool isSnapshot);
+  void applyRelayed(const RelayedRecords &relayed);
   void applyLimits();
   /// Logs the evacuations in force, now and when more of them are.
   void watchEvacuations();
--- a/src/libs/gateway/process.cpp
+++ b/src/libs/gateway/process.cpp
@@ -108,22 +108,18 @@
       CallerListener(loop, CallerPolicy),
       ReadinessListener(loop, ReadinessPolicy),
       MetricsListener(loop, MetricsPolicy),
-      ConfigurationFeed(
-          loop, State.Clients.PlatformStore,
-          {Topic::Operators,
-           [this] {
-             return State.Coordination.isHolder() ? HolderPollTimeout
-                                                  : ConfigurationPollTimeout;
-           },
-           {},
-           maxAgeBeforeRead(State.Settings.ConfigurationApply)},
-          [this](const auto &records, bool isSnapshot) {
-            State.FleetView.applyOperators(
-                records,
-                isSnapshot ? std::nullopt
-                           : std::optional(ConfigurationFeed.completeBefore()),
-                Utils::BootClock::now());
-          }),
+      ConfigurationFeed(loop, State.Clients.PlatformStore,
+                        {Topic::Operators,
+                         [this] {
+                           return State.Coordination.isHolder()
+                                      ? HolderPollTimeout
+                                      : ConfigurationPollTimeout;
+                         },
+                         {},
+                         maxAgeBeforeRead(State.Settings.ConfigurationApply)},
+                        [this](const auto &records, bool isSnapshot) {
+                          applyOperators(records, isSnapshot);
+                        }),
       EndpointFeed(loop, State.Clients.PlatformStore,
                    {Topic::Endpoints, [] { return milliseconds(0); },
                     EndpointPollInterval,
@@ -156,6 +152,9 @@
   State.OnHeartbeat = [this](const auto &heartbeat, auto reportedAt) {
     onHeartbeat(heartbeat, reportedAt);
   };
+  State.Coordination.OnRelayedRecords = [this](const auto &records) {
+    applyRelayed(records);
+  };
   *State.Clients.Engines.Notices = [this](const auto &endpoint,
                                           const auto &notice) {
     State.applyNotice(endpoint, notice);
@@ -310,6 +309,8 @@
   ConfigurationFeed.noteHolderOffset(
       heartbeat.OperatorsNext,
       reportedAt - milliseconds(heartbeat.OperatorsAgeMs), reportedAt);
+  State.Coordination.relayRecords(
+      ConfigurationFeed.lacksHolderRecords(Utils::BootClock::now()));
   Utils::TimePoint asOf = reportedAt - milliseconds(heartbeat.EndpointsAgeMs);
   if (!State.Coordination.member().hasCompleteTable())
     return EndpointFeed.awaitHolderSnapshot(asOf, reportedAt);
@@ -318,6 +319,30 @@
   EndpointFeed.noteHolderSnapshot(asOf, reportedAt);
 }
 
+void Process::applyOperators(const std::vector<TopicRecord> &records,
+                             bool isSnapshot) {
+  State.Coordination.noteOperatorsRecords(records, isSnapshot);
+  Utils::TimePoint absentAt = ConfigurationFeed.completeBefore();
+  State.FleetView.applyOperators(
+      records, isSnapshot,
+      absentAt == Utils::TimePoint{} ? std::nullopt : std::optional(absentAt),
+      Utils::BootClock::now());
+}
+
+void Process::applyRelayed(const RelayedRecords &relayed) {
+  if (!ConfigurationFeed.noteRelayed(relayed.Next, relayed.AsOf))
+    return;
+  Utils::TimePoint now = Utils::BootClock::now();
+  State.MetricsRegistry.add("hickory_gateway_relayed_reads_total", "");
+  Utils::Event("records_relayed")
+      .with("records", relayed.Records.size())
+      .with("next", relayed.Next)
+      .with("age_ms", Utils::msBetween(relayed.AsOf, now))
+      .with("ms", Utils::msBetween(relayed.RequestedAt, now))
+      .info();
+  applyOperators(relayed.Records, true);
+}
+
 void Process::applyEntries(const FleetLink::Heartbeat &heartbeat) {
   Utils::TimePoint now = Utils::BootClock::now();
   for (const FleetLink::EndpointEntry &it : heartbeat.Entries)
--- a/src/libs/gateway/view.cpp
+++ b/src/libs/gateway/view.cpp
@@ -32,6 +32,7 @@
     : Source(store), Evacuations(evacuationBound) {}
 
 void View::applyOperators(const std::vector<TopicRecord> &records,
+                          bool isSnapshot,
                           std::optional<Utils::TimePoint> absentAt,
                           Utils::TimePoint now) {
   std::set<std::string> requested;
@@ -46,7 +47,6 @@
     if (it.Value)
       requested.insert(*domain);
   }
-  bool isSnapshot = !absentAt;
   if (isSnapshot)
     for (const std::string &it : Evacuations.missingFrom(requested))
       changed |= withdrawEvacuation(it);
--- a/src/libs/gateway/view.h
+++ b/src/libs/gateway/view.h
@@ -17,10 +17,11 @@
       const Store &store,
       std::optional<Utils::Milliseconds> evacuationBound = std::nullopt);
 
-  /// `absentAt`: time at which the topic did not hold these records yet;
-  /// nothing if they are a snapshot, in which case evacuations without a record
-  /// are withdrawn.
-  void applyOperators(const std::vector<TopicRecord> &records,
+  /// `isSnapshot`: the records are the whole topic, not an addition;
+  /// evacuations without a record are withdrawn. `absentAt`: time at which the
+  /// topic did not hold the records that are new here; nothing if no earlier
+  /// state is known.
+  void applyOperators(const std::vector<TopicRecord> &records, bool isSnapshot,
                       std::optional<Utils::TimePoint> absentAt,
                       Utils::TimePoint now);
   /// Logs the evacuations that have come into force since the last call.
--- a/tests/auto/gateway/evacuation.cpp
+++ b/tests/auto/gateway/evacuation.cpp
@@ -117,9 +117,9 @@
 TEST_CASE_FIXTURE(ViewFixture,
                   "snapshot withdraws evacuations that it does not hold and "
                   "keeps the others with their times") {
-  View.applyOperators({{"a", "{}"}, {"b", "{}"}}, Now - 1s, Now);
+  View.applyOperators({{"a", "{}"}, {"b", "{}"}}, false, Now - 1s, Now);
   CHECK(View.evacuations().isInGracePeriod("b", Now));
-  View.applyOperators({{"b", "{}"}}, std::nullopt, Now + 1s);
+  View.applyOperators({{"b", "{}"}}, true, std::nullopt, Now + 1s);
   CHECK_FALSE(View.evacuations().isEvacuated("a"));
   CHECK(View.evacuations().isInGracePeriod("b", Now + 1s));
   CHECK(View.evacuations().isClosed("b", Now + 3s));
@@ -131,6 +131,6 @@
   Source.CheckEvacuation = [](const std::string &) {
     return Utils::Status(Utils::failure(Utils::Errc::Corrupt, "value"));
   };
-  View.applyOperators({{"a", "?"}}, std::nullopt, Now);
+  View.applyOperators({{"a", "?"}}, true, std::nullopt, Now);
   CHECK(View.evacuations().isClosed("a", Now));
 }
