Leave the buckets of cold endpoints out of the duty's record

They start empty at a new holder whatever the record says, and all that are not full yet would be listed at once. The comment on the mean without a holder gives the probabilities as computed.

Tests endpointlimits, fleetlimits, gateway and takeover pass.

--- a/src/libs/gateway/fleetlimiter.cpp
+++ b/src/libs/gateway/fleetlimiter.cpp
@@ -50,7 +50,7 @@
   std::vector<FleetLink::TeamLevel> out;
   for (auto &[key, team] : Teams)
     if (double level = team.Bucket.level(now);
-        level < team.Bucket.limit().Burst)
+        level < team.Bucket.limit().Burst && !team.Bucket.limit().isStrict())
       out.push_back({key, toLevel(level)});
   return out;
 }
--- a/src/libs/gateway/fleetlimiter.h
+++ b/src/libs/gateway/fleetlimiter.h
@@ -57,7 +57,8 @@
   /// gateway.
   void capLevels(const std::vector<FleetLink::TeamLevel> &levels,
                  TimePoint now);
-  /// Bucket levels to store in the duty record; full buckets are left out.
+  /// Bucket levels to store in the duty record; full buckets are left out, and
+  /// strict ones, which start empty.
   std::vector<FleetLink::TeamLevel> levelsToRecord(TimePoint now);
   /// Bucket level, demand and grant of the member for each limit whose usage it
   /// has sent.
--- a/src/libs/quota/tokenbucket.cpp
+++ b/src/libs/quota/tokenbucket.cpp
@@ -15,9 +15,9 @@
 
 namespace {
 
-/// Mean of a random number of calls that exceeds `most` with a probability
-/// below 1 in a million: six standard deviations of a Poisson distribution lie
-/// between them, which for small means is as much as the tail needs.
+/// Mean of a random number of calls that lies six standard deviations of a
+/// Poisson distribution below `most`. The probability of more calls is 2e-7 if
+/// `most` is 35, and 1e-5 if it is 17.
 double meanWithin(double most) {
   constexpr double deviations = 6;
   double root =
