Reject configurations that keep calls in one of several regions

The settings may map failure domains to regions (zones). Keeping calls in a region is not built, so with more than one region a configuration that names allowed_regions on a route or tenant fails to decode, with an error that names them, and the last good one stays in force. tst_sitewire passes (22 cases).

--- a/src/app/gatewaycommand.cpp
+++ b/src/app/gatewaycommand.cpp
@@ -38,7 +38,8 @@
   HttpIo::ClientPool engineConnections(loop);
   Gateway::PlatformClients clients{
       Platform::makeCallWire(),
-      Platform::makeStoreClient(storeConnections, loop, settings->StoreAddress),
+      Platform::makeStoreClient(storeConnections, loop, settings->StoreAddress,
+                                Platform::hasSeveralRegions(*settings)),
       Platform::makeEngineClient(engineConnections, loop)};
   Gateway::Process process(loop, std::move(settings.value()),
                            std::move(clients));
