Give rejected calls of a team a place in a virtual queue

The allocator keeps a reservation for each rejected call, due when the bucket has refilled for the calls before it. Listed calls are granted as wholes, those with a due reservation first. Callers that list no calls see no change.

--- a/src/libs/quota/gatewaylimiter.cpp
+++ b/src/libs/quota/gatewaylimiter.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <unordered_map>
 
 namespace Quota {
 
@@ -77,7 +78,8 @@
 
 std::optional<Decision> GatewayLimiter::acquire(uint64_t call, double tokens,
                                                 bool hasHolder, TimePoint now,
-                                                std::mt19937_64 &random) {
+                                                std::mt19937_64 &random,
+                                                const QueueTicket &ticket) {
   int64_t needed = wholeTokens(tokens);
   Counters.Demanded += needed;
   MeanCallTokens += MeanCallTokens == 0
@@ -95,7 +97,7 @@
     return decideLocally(call, needed, now, random);
   Waiting.push_back({call, needed,
                      now + (hasAnswer() ? HolderTimeout : FirstHolderTimeout),
-                     0});
+                     0, ticket});
   updateCounters();
   return std::nullopt;
 }
@@ -114,9 +116,9 @@
 void GatewayLimiter::refund(double tokens) { spend(-wholeTokens(tokens)); }
 
 TokenCounters GatewayLimiter::prepareReport(uint64_t sequence) {
-  for (WaitingCall &it : Waiting)
-    if (it.RequestedIn == 0)
-      it.RequestedIn = sequence;
+  for (size_t i = 0; i < std::min(Waiting.size(), MaxListedCalls); ++i)
+    if (Waiting[i].RequestedIn == 0)
+      Waiting[i].RequestedIn = sequence;
   if (Counters.Requested < LastRequested ||
       Counters.Requested < Counters.Granted)
     MinGrantSequence = sequence;
@@ -125,6 +127,14 @@
   return Counters;
 }
 
+std::vector<QueuedCall> GatewayLimiter::queuedCalls() const {
+  std::vector<QueuedCall> out;
+  for (size_t i = 0; i < std::min(Waiting.size(), MaxListedCalls); ++i)
+    if (const WaitingCall &it = Waiting[i]; it.Ticket.Hash != 0)
+      out.push_back({it.Call, it.Ticket.Hash, it.Tokens, it.Ticket.Patience});
+  return out;
+}
+
 /// Retry delay of a call for which the bucket has too few tokens or is
 /// overdrawn. Grows in proportion to the demand once that exceeds the rate,
 /// because so many callers compete for each refilled token.
@@ -147,9 +157,17 @@
   resetShare(answer.Level, now);
   if (sequence >= MinGrantSequence)
     Counters.Granted = std::max(Counters.Granted, answer.Granted);
+  std::unordered_map<uint64_t, Milliseconds> delays;
+  for (const CallDelay &it : answer.Delays)
+    delays[it.Call] = it.RetryAfter;
   std::erase_if(Waiting, [&](const WaitingCall &it) {
     if (it.RequestedIn == 0 || it.RequestedIn > sequence)
       return false;
+    auto delay = delays.find(it.Call);
+    if (isLimited() && delay != delays.end()) {
+      out.push_back({it.Call, delay->second, answer.QueueLength});
+      return true;
+    }
     bool admitted =
         !isLimited() || Counters.Granted - Counters.Spent >= it.Tokens;
     if (admitted)
--- a/src/libs/quota/gatewaylimiter.h
+++ b/src/libs/quota/gatewaylimiter.h
@@ -16,12 +16,28 @@
   /// Demand at all gateways together, in tokens per second.
   double Demand = 0;
   int64_t Granted = 0;
+  /// Retry delays of the listed calls that are rejected.
+  std::vector<CallDelay> Delays{};
+  /// Length of the team's virtual queue.
+  uint32_t QueueLength = 0;
+};
+
+/// What the virtual queue needs to know of a call.
+struct QueueTicket {
+  /// Hash of what stays the same when the caller repeats the call; 0 if the
+  /// call takes no part in a virtual queue.
+  uint64_t Hash = 0;
+  /// Longest retry delay after which the caller is expected to return.
+  Milliseconds Patience{0};
 };
 
 /// Whether a call is admitted; a rejected call is told when to retry.
 struct Decision {
   uint64_t Call = 0;
   std::optional<Milliseconds> RetryAfter;
+  /// Length of the team's virtual queue; set if the holder has rejected the
+  /// call with the time of its place there.
+  std::optional<uint32_t> QueueLength{};
   bool isAdmitted() const { return !RetryAfter; }
 };
 
@@ -35,6 +51,9 @@
   /// The same for a process that has never heard from a holder: when the whole
   /// fleet starts at once, a gateway claims the duty within some 100 ms.
   static constexpr Milliseconds FirstHolderTimeout{300};
+  /// Maximum number of calls that a message lists; the next one lists the rest.
+  /// 28 bytes each; several teams must fit into one datagram.
+  static constexpr size_t MaxListedCalls = 100;
 
   /// `level`: best known level of the team's bucket. Without a holder, this
   /// gateway uses 1/`gateways` of the level and of the rate.
@@ -48,7 +67,10 @@
   /// applyAnswer() or expireWaiting() decides it then. `hasHolder`: a duty
   /// holder is answering.
   std::optional<Decision> acquire(uint64_t call, double tokens, bool hasHolder,
-                                  TimePoint now, std::mt19937_64 &random);
+                                  TimePoint now, std::mt19937_64 &random,
+                                  const QueueTicket &ticket = {});
+  /// Calls to list in the report that prepareReport() has just prepared.
+  std::vector<QueuedCall> queuedCalls() const;
   /// Removes a waiting call that needs no tokens any more.
   void cancel(uint64_t call);
   /// Ignores grants that answer reports before `sequence`: reports from that
@@ -82,6 +104,7 @@
     TimePoint Deadline{};
     /// Number of the first report that requested its tokens; 0 if none yet.
     uint64_t RequestedIn = 0;
+    QueueTicket Ticket{};
   };
   bool isLimited() const { return CurrentLimit.Rate > 0; }
   void resetShare(double level, TimePoint now);
--- a/src/libs/quota/quota.h
+++ b/src/libs/quota/quota.h
@@ -10,5 +10,6 @@
 #include "quota/gatewaylimiter.h"
 #include "quota/tokenallocator.h"
 #include "quota/tokenbucket.h"
+#include "quota/virtualqueue.h"
 
 #endif // QUOTA_QUOTA_H
--- a/src/libs/quota/tokenallocator.cpp
+++ b/src/libs/quota/tokenallocator.cpp
@@ -19,6 +19,10 @@
 /// assessed over 8 s.
 constexpr double UnusedSeconds = 8;
 
+/// Share of MaxOverdraft by which calls without a reservation may overdraw what
+/// others have not reserved. The rest keeps the due times of those true.
+constexpr double UnreservedOverdraft = 0.5;
+
 } // namespace
 
 TokenAllocator::TokenAllocator(const Limit &limit, double level,
@@ -92,6 +96,12 @@
   double level = FleetBucket.level(now);
   if (level <= 0)
     return 0;
+  if (!Reserved.empty()) {
+    Reserved.expire(now);
+    level = Reserved.freeTokens(bucketState(now), now);
+    if (level <= 0)
+      return 0;
+  }
   auto available = int64_t(level + MaxOverdraft);
   return std::min(requested, level >= CurrentLimit.Burst
                                  ? std::max(available, first)
@@ -110,10 +120,10 @@
   return RecentDemand / DemandDecaySeconds;
 }
 
-int64_t TokenAllocator::reconcile(const std::string &gateway,
-                                  uint64_t incarnation,
-                                  const TokenCounters &counters,
-                                  TimePoint now) {
+/// Applies the counters of a gateway process without granting more.
+TokenAllocator::GatewayState &
+TokenAllocator::account(const std::string &gateway, uint64_t incarnation,
+                        const TokenCounters &counters, TimePoint now) {
   auto [it, isNew] = Gateways.try_emplace(gateway);
   GatewayState &state = it->second;
   // The level taken over from previous holders already includes their grants.
@@ -130,13 +140,94 @@
   else // Refunded or given up.
     debit(double(accounted - state.Granted), now);
   state.Granted = accounted;
-  if (counters.Requested > accounted) {
-    int64_t granted =
-        grantable(counters.Requested - accounted, counters.FirstRequest, now);
+  return state;
+}
+
+int64_t TokenAllocator::reconcile(const std::string &gateway,
+                                  uint64_t incarnation,
+                                  const TokenCounters &counters,
+                                  TimePoint now) {
+  GatewayState &state = account(gateway, incarnation, counters, now);
+  if (counters.Requested > state.Granted) {
+    int64_t granted = grantable(counters.Requested - state.Granted,
+                                counters.FirstRequest, now);
     debit(double(granted), now);
     state.Granted += granted;
   }
   return state.Granted;
 }
 
+BucketState TokenAllocator::bucketState(TimePoint now) {
+  return {FleetBucket.level(now), FleetBucket.limit().Rate, CurrentLimit.Burst};
+}
+
+/// Whether the tokens that the call still needs can be granted. The bucket is
+/// never overdrawn by more than MaxOverdraft, but for one call of any size
+/// when it is full.
+bool TokenAllocator::admits(const QueuedCall &call, double tokens,
+                            TimePoint now) {
+  BucketState bucket = bucketState(now);
+  if (Reserved.isDue(call.Hash, now))
+    return tokens <= bucket.Level + MaxOverdraft ||
+           bucket.Level >= bucket.Burst;
+  if (Reserved.contains(call.Hash))
+    return false;
+  if (bucket.Level <= 0)
+    return false;
+  if (Reserved.empty())
+    return tokens <= bucket.Level + MaxOverdraft ||
+           bucket.Level >= bucket.Burst;
+  double available = Reserved.freeTokens(bucket, now);
+  return available > 0 &&
+         tokens <= available + MaxOverdraft * UnreservedOverdraft;
+}
+
+/// Retry delay of a call that is not admitted. Reserves its tokens.
+Milliseconds TokenAllocator::delayOf(const QueuedCall &call, TimePoint now) {
+  BucketState bucket = bucketState(now);
+  if (!Reserved.contains(call.Hash) || bucket.Rate <= 0)
+    return Reserved.reserve(call, bucket, now);
+  constexpr Milliseconds minDelay{1};
+  if (Reserved.isDue(call.Hash, now)) {
+    // Others have overdrawn the bucket or the rate has fallen.
+    double missing = std::min(double(call.Tokens), bucket.Burst) - bucket.Level;
+    Reserved.postpone(call.Hash,
+                      now + Milliseconds(int64_t(std::clamp(
+                                missing * 1000 / bucket.Rate, 1.0, 10'000.0))));
+  }
+  return std::max(minDelay, std::chrono::ceil<Milliseconds>(
+                                Reserved.dueAt(call.Hash) - now));
+}
+
+int64_t TokenAllocator::reconcile(const std::string &gateway,
+                                  uint64_t incarnation,
+                                  const TokenCounters &counters,
+                                  const std::vector<QueuedCall> &calls,
+                                  std::vector<CallDelay> &delays,
+                                  TimePoint now) {
+  if (calls.empty() || CurrentLimit.Rate == 0)
+    return reconcile(gateway, incarnation, counters, now);
+  GatewayState &state = account(gateway, incarnation, counters, now);
+  Reserved.expire(now);
+  // Granted before, but the answer was lost or is under way.
+  int64_t unspent = state.Granted - counters.Spent;
+  std::vector<QueuedCall> ordered = calls;
+  std::stable_partition(
+      ordered.begin(), ordered.end(),
+      [&](const QueuedCall &it) { return Reserved.isDue(it.Hash, now); });
+  for (const QueuedCall &it : ordered) {
+    int64_t fromUnspent = std::clamp<int64_t>(unspent, 0, it.Tokens);
+    int64_t needed = it.Tokens - fromUnspent;
+    if (needed > 0 && !admits(it, double(needed), now)) {
+      delays.push_back({it.Call, delayOf(it, now)});
+      continue;
+    }
+    Reserved.erase(it.Hash);
+    unspent -= fromUnspent;
+    debit(double(needed), now);
+    state.Granted += needed;
+  }
+  return state.Granted;
+}
+
 } // namespace Quota
--- a/src/libs/quota/tokenallocator.h
+++ b/src/libs/quota/tokenallocator.h
@@ -2,6 +2,7 @@
 #define QUOTA_TOKENALLOCATOR_H
 
 #include "quota/tokenbucket.h"
+#include "quota/virtualqueue.h"
 
 #include <cstdint>
 #include <map>
@@ -46,6 +47,15 @@
   /// that the process may spend now.
   int64_t reconcile(const std::string &gateway, uint64_t incarnation,
                     const TokenCounters &counters, TimePoint now);
+  /// The same for counters with a list of the calls that wait for the tokens.
+  /// Grants the tokens of whole calls only: first of those whose reservation is
+  /// due, then of those without one. Sets the delays of the rejected calls.
+  int64_t reconcile(const std::string &gateway, uint64_t incarnation,
+                    const TokenCounters &counters,
+                    const std::vector<QueuedCall> &calls,
+                    std::vector<CallDelay> &delays, TimePoint now);
+  /// Number of reservations in the virtual queue.
+  size_t queueLength() const { return Reserved.size(); }
   double level(TimePoint now);
   const Limit &limit() const { return CurrentLimit; }
   /// Demand in tokens per second, averaged over the last seconds.
@@ -57,6 +67,11 @@
     int64_t Granted = 0;
     int64_t Demanded = 0;
   };
+  GatewayState &account(const std::string &gateway, uint64_t incarnation,
+                        const TokenCounters &counters, TimePoint now);
+  BucketState bucketState(TimePoint now);
+  bool admits(const QueuedCall &call, double tokens, TimePoint now);
+  Milliseconds delayOf(const QueuedCall &call, TimePoint now);
   int64_t grantable(int64_t requested, int64_t first, TimePoint now);
   void debit(double tokens, TimePoint now);
   void debitUngranted(double tokens, TimePoint now);
@@ -77,6 +92,7 @@
   /// Net tokens granted since this allocator was created.
   double NetGranted = 0;
   std::map<std::string, GatewayState> Gateways;
+  VirtualQueue Reserved;
 };
 
 } // namespace Quota
--- a/tests/auto/quota/tst_quota.cpp
+++ b/tests/auto/quota/tst_quota.cpp
@@ -282,3 +282,92 @@
   }
   CHECK(admitted <= 2000.0 / 200 + 20);
 }
+
+namespace {
+
+/// A team of 1,000 tokens a second whose bucket is empty.
+struct EmptyBucket {
+  Limit TeamLimit{1000, 1000};
+  TimePoint Now{1h};
+  TokenAllocator Allocator{TeamLimit, 0, 0, Now};
+  TokenCounters Counters;
+  uint64_t Calls = 0;
+
+  /// Delay of the call; nothing if it is admitted.
+  std::optional<Milliseconds> submit(uint64_t hash, int64_t tokens,
+                                     Milliseconds patience = 5s) {
+    Counters.Requested = Counters.Spent + tokens;
+    std::vector<CallDelay> delays;
+    Counters.Granted = Allocator.reconcile(
+        "a", 1, Counters, {{++Calls, hash, tokens, patience}}, delays, Now);
+    if (!delays.empty())
+      return delays[0].RetryAfter;
+    CHECK(Counters.Granted - Counters.Spent == tokens);
+    Counters.Spent += tokens;
+    return std::nullopt;
+  }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(
+    EmptyBucket, "rejected calls are told successive times and are served then "
+                 "before a call without a reservation") {
+  CHECK(submit(1, 100) == 100ms);
+  CHECK(submit(2, 200) == 300ms);
+  CHECK(submit(3, 100) == 400ms);
+  Now += 100ms;
+  CHECK(submit(4, 50) == 350ms); // The tokens of call 1 are kept.
+  CHECK_FALSE(submit(1, 100));
+  Now += 200ms;
+  CHECK_FALSE(submit(2, 200));
+}
+
+TEST_CASE_FIXTURE(EmptyBucket,
+                  "call that is repeated early is told its old time again") {
+  CHECK(submit(1, 100) == 100ms);
+  CHECK(submit(2, 100) == 200ms);
+  Now += 40ms;
+  CHECK(submit(2, 100) == 160ms);
+  CHECK(submit(1, 100) == 60ms);
+  CHECK(Allocator.queueLength() == 2);
+}
+
+TEST_CASE_FIXTURE(EmptyBucket,
+                  "tokens of a caller that does not return go to others") {
+  CHECK(submit(1, 300) == 300ms);
+  Now += 300ms;
+  CHECK(submit(2, 100) == 100ms);
+  Now += VirtualQueue::ReturnWindow;
+  CHECK_FALSE(submit(3, 300));
+  CHECK(Allocator.queueLength() == 1);
+}
+
+TEST_CASE_FIXTURE(EmptyBucket, "call whose caller will not wait that long is "
+                               "told its time but reserves nothing") {
+  CHECK(submit(1, 500) == 500ms);
+  CHECK(submit(2, 500, 900ms) == 1000ms);
+  CHECK(submit(3, 100) == 600ms);
+  CHECK(Allocator.queueLength() == 2);
+}
+
+TEST_CASE_FIXTURE(EmptyBucket, "number of reservations is bounded") {
+  for (uint64_t hash = 1; hash <= 2 * VirtualQueue::MaxReservations; ++hash)
+    submit(hash, 1, 60s);
+  CHECK(Allocator.queueLength() == VirtualQueue::MaxReservations);
+}
+
+TEST_CASE_FIXTURE(EmptyBucket,
+                  "grant of a listed call whose answer was lost is "
+                  "repeated and debited only once") {
+  Now += 500ms;
+  Counters.Requested = 100;
+  for (int i = 0; i < 2; ++i) {
+    std::vector<CallDelay> delays;
+    CHECK(Allocator.reconcile("a", 1, Counters, {{1, 1, 100, 1s}}, delays,
+                              Now) == 100);
+    CHECK(delays.empty());
+    Counters.Granted = 100; // The repeated request does not give it up.
+    CHECK(Allocator.level(Now) == doctest::Approx(400));
+  }
+}
