Tell callers over a team's limit when their place in the queue is due

Grant requests and reports list the waiting calls (number, hash of what a repetition keeps, tokens, a third of the time left); the holder's answers carry the delays of those rejected and the length of the virtual queue. The kinds of the four datagrams change with their format. call_ended logs queue_length, and hickory_gateway_limit_retry_after_seconds shows the delays.

Priorities within a team and waiting at the gateway are not built.

--- a/src/libs/fleetlink/fleetlink.cpp
+++ b/src/libs/fleetlink/fleetlink.cpp
@@ -8,9 +8,15 @@
 
 namespace FleetLink {
 
+template <class Archive> void serialize(Archive &archive, TeamCall &it) {
+  archive(it.Call, it.Hash, it.Tokens, it.PatienceMs);
+}
+template <class Archive> void serialize(Archive &archive, TeamDelay &it) {
+  archive(it.Call, it.RetryAfterMs);
+}
 template <class Archive> void serialize(Archive &archive, TeamUsage &it) {
   archive(it.Team, it.Spent, it.Granted, it.Requested, it.FirstRequest,
-          it.Demanded);
+          it.Demanded, it.Calls);
 }
 template <class Archive> void serialize(Archive &archive, TeamLevel &it) {
   archive(it.Team, it.Level);
@@ -56,7 +62,7 @@
           it.EndpointLimits);
 }
 template <class Archive> void serialize(Archive &archive, TeamGrant &it) {
-  archive(it.Team, it.Level, it.Demand, it.Granted);
+  archive(it.Team, it.Level, it.Demand, it.Granted, it.Delays, it.QueueLength);
 }
 template <class Archive> void serialize(Archive &archive, GrantRequest &it) {
   archive(it.Member, it.Address, it.Incarnation, it.Sequence, it.Teams,
@@ -92,10 +98,10 @@
 /// First byte of a datagram. A message gets a new value with each change of its
 /// format, so that gateways of two versions do not misread each other.
 enum class Kind : char {
-  GrantRequest = 7,
-  Grant = 8,
-  Report = 9,
-  Heartbeat = 10
+  GrantRequest = 11,
+  Grant = 12,
+  Report = 13,
+  Heartbeat = 14
 };
 
 template <typename T> std::string encodeAs(Kind kind, const T &message) {
--- a/src/libs/fleetlink/fleetlink.h
+++ b/src/libs/fleetlink/fleetlink.h
@@ -29,6 +29,20 @@
 /// team's, with one token for each call.
 std::string endpointLimitName(uint32_t endpoint);
 
+/// A call that waits for tokens of a team. See Quota::QueuedCall.
+struct TeamCall {
+  uint64_t Call = 0;
+  uint64_t Hash = 0;
+  int64_t Tokens = 0;
+  uint32_t PatienceMs = 0;
+};
+
+/// Delay after which a rejected call may be repeated.
+struct TeamDelay {
+  uint64_t Call = 0;
+  uint32_t RetryAfterMs = 0;
+};
+
 /// A gateway's counters of a team's tokens since its process started. See
 /// Quota::TokenCounters.
 struct TeamUsage {
@@ -39,6 +53,8 @@
   int64_t Requested = 0;
   int64_t FirstRequest = 0;
   int64_t Demanded = 0;
+  /// Calls that wait for the tokens.
+  std::vector<TeamCall> Calls{};
 };
 
 /// Level of a team's token bucket.
@@ -209,6 +225,10 @@
   uint32_t Demand = 0;
   /// Tokens granted to the gateway since its process started.
   int64_t Granted = 0;
+  /// Of the listed calls that are rejected.
+  std::vector<TeamDelay> Delays{};
+  /// Reservations in the team's virtual queue.
+  uint32_t QueueLength = 0;
 };
 
 /// The holder's answer to a grant request.
--- a/src/libs/gateway/call.cpp
+++ b/src/libs/gateway/call.cpp
@@ -4,6 +4,8 @@
 #include "utils/digest.h"
 #include "utils/utils.h"
 
+#include <algorithm>
+
 namespace Gateway {
 
 namespace {
@@ -123,17 +125,35 @@
 }
 
 void Call::requestTokens() {
-  if (auto decision = requestTokensOf(Team->Name, tokenCost()))
+  if (auto decision = requestTokensOf(Team->Name, tokenCost(), queueTicket()))
     onTeamDecided(*decision);
 }
 
-std::optional<Quota::Decision> Call::requestTokensOf(const std::string &limit,
-                                                     double tokens) {
+/// Identifies the call in its team's virtual queue. A caller repeats a rejected
+/// call with a new id.
+Quota::QueueTicket Call::queueTicket() const {
+  // Callers wait for at most a third of the time that they have left.
+  constexpr int patienceDivisor = 3;
+  std::string identity = Team->Name + '\n' + Route->Name + '\n' +
+                         Metadata.Model + '\n' + Metadata.Adapter;
+  for (const PromptPart &it : Metadata.Prompt)
+    identity += '\n' + it.Id;
+  if (Metadata.Tokens)
+    identity += '\n' + std::to_string(Metadata.Tokens->first) + '/' +
+                std::to_string(Metadata.Tokens->second);
+  uint64_t hash = std::max<uint64_t>(1, Utils::fastHash(identity));
+  auto left = std::chrono::floor<Utils::Milliseconds>(Deadline - ArrivedAt);
+  return {hash, left / patienceDivisor};
+}
+
+std::optional<Quota::Decision>
+Call::requestTokensOf(const std::string &limit, double tokens,
+                      const Quota::QueueTicket &ticket) {
   uint64_t id = State.PendingAdmission.nextId();
   TokenRequestId = id;
   RequestedLimit = limit;
   State.PendingAdmission.add(id, weak_from_this());
-  auto decision = State.Coordination.requestTokens(limit, id, tokens);
+  auto decision = State.Coordination.requestTokens(limit, id, tokens, ticket);
   if (!decision)
     return std::nullopt;
   State.PendingAdmission.remove(id);
@@ -150,11 +170,19 @@
 
 void Call::onTeamDecided(const Quota::Decision &decision) {
   if (!decision.isAdmitted())
-    return refuse(TooManyRequests, "over_limit", *decision.RetryAfter);
+    return refuseOverLimit(decision);
   TokensTaken = tokenCost();
   proceed();
 }
 
+void Call::refuseOverLimit(const Quota::Decision &decision) {
+  QueueLength = decision.QueueLength;
+  State.MetricsRegistry.observe(
+      "hickory_gateway_limit_retry_after_seconds",
+      std::chrono::duration<double>(*decision.RetryAfter).count());
+  refuse(TooManyRequests, "over_limit", *decision.RetryAfter);
+}
+
 void Call::cancelTokenRequest() {
   if (TokenRequestId == 0)
     return;
@@ -219,6 +247,8 @@
     event.with("waited_ms", QueuedFor.count());
   if (RetryAfter)
     event.with("retry_after_ms", RetryAfter->count());
+  if (QueueLength)
+    event.with("queue_length", *QueueLength);
   if (Sends == 0 && Route)
     event.with("keys_age_ms", Utils::msBetween(State.KeysReadAt, ArrivedAt))
         .with("left_ms", Utils::msBetween(now, Deadline));
--- a/src/libs/gateway/call.h
+++ b/src/libs/gateway/call.h
@@ -36,9 +36,12 @@
   void requestTokens();
   /// Requests tokens of a limit, a team's or an endpoint's. Returns nothing if
   /// the decision is pending.
-  std::optional<Quota::Decision> requestTokensOf(const std::string &limit,
-                                                 double tokens);
+  std::optional<Quota::Decision>
+  requestTokensOf(const std::string &limit, double tokens,
+                  const Quota::QueueTicket &ticket = {});
+  Quota::QueueTicket queueTicket() const;
   void onTeamDecided(const Quota::Decision &decision);
+  void refuseOverLimit(const Quota::Decision &decision);
   void cancelTokenRequest();
   void proceed();
   double tokenCost() const;
@@ -162,6 +165,8 @@
   Utils::TimePoint QueuedSince{};
   Utils::Milliseconds QueuedFor{0};
   std::optional<Utils::Milliseconds> RetryAfter;
+  /// Length of the team's virtual queue when the call was rejected.
+  std::optional<uint32_t> QueueLength;
   double TokensTaken = 0;
   /// Id of the pending token request; 0 if there is none.
   uint64_t TokenRequestId = 0;
--- a/src/libs/gateway/fleetagent.cpp
+++ b/src/libs/gateway/fleetagent.cpp
@@ -215,9 +215,9 @@
 
 std::optional<Quota::Decision>
 FleetAgent::requestTokens(const std::string &limit, uint64_t call,
-                          double tokens) {
+                          double tokens, const Quota::QueueTicket &ticket) {
   auto decision =
-      Self.acquireTokens(limit, call, tokens, Utils::BootClock::now());
+      Self.acquireTokens(limit, call, tokens, Utils::BootClock::now(), ticket);
   if (!decision)
     sendGrantRequestSoon();
   return decision;
--- a/src/libs/gateway/fleetagent.h
+++ b/src/libs/gateway/fleetagent.h
@@ -48,8 +48,9 @@
   /// Requests tokens of a limit for a call. Returns the decision, or nothing if
   /// the call must wait for the answer to a grant request; see
   /// Context::OnDecisions.
-  std::optional<Quota::Decision> requestTokens(const std::string &limit,
-                                               uint64_t call, double tokens);
+  std::optional<Quota::Decision>
+  requestTokens(const std::string &limit, uint64_t call, double tokens,
+                const Quota::QueueTicket &ticket = {});
   /// An endpoint has crashed under calls of this gateway.
   void recordCrash(const Quarantine::Crash &crash);
   void onEndpoint(const std::string &id);
--- a/src/libs/gateway/fleetlimiter.cpp
+++ b/src/libs/gateway/fleetlimiter.cpp
@@ -121,10 +121,12 @@
     it.Incarnation = incarnation;
     it.Sequence = 0;
     it.Granted.clear();
+    it.Delays.clear();
   }
   if (sequence <= it.Sequence)
     return;
   it.Sequence = sequence;
+  it.Delays.clear();
   for (const FleetLink::TeamUsage &use : uses) {
     auto team = Teams.find(use.Team);
     if (team == Teams.end())
@@ -137,10 +139,19 @@
           .with("tokens", use.Spent - std::max(granted, use.Granted))
           .with("level", int64_t(team->second.Bucket.level(now)))
           .info();
+    std::vector<Quota::QueuedCall> calls;
+    calls.reserve(use.Calls.size());
+    for (const FleetLink::TeamCall &call : use.Calls)
+      calls.push_back({call.Call, call.Hash, std::max<int64_t>(1, call.Tokens),
+                       Milliseconds(call.PatienceMs)});
+    std::vector<Quota::CallDelay> delays;
     granted = team->second.Bucket.reconcile(
         member, incarnation,
         {use.Spent, use.Granted, use.Requested, use.FirstRequest, use.Demanded},
-        now);
+        calls, delays, now);
+    for (const Quota::CallDelay &delay : delays)
+      it.Delays[use.Team].push_back(
+          {delay.Call, uint32_t(delay.RetryAfter.count())});
   }
 }
 
@@ -157,13 +168,22 @@
 FleetLink::TeamGrant FleetLimiter::grant(const std::string &member,
                                          uint32_t key, Team &team,
                                          TimePoint now) {
-  int64_t granted = 0;
-  if (auto it = Members.find(member); it != Members.end())
-    if (auto known = it->second.Granted.find(key);
-        known != it->second.Granted.end())
-      granted = known->second;
-  return {key, toLevel(team.Bucket.level(now)),
-          uint32_t(toLevel(team.Bucket.demandRate(now))), granted};
+  FleetLink::TeamGrant out{key,
+                           toLevel(team.Bucket.level(now)),
+                           uint32_t(toLevel(team.Bucket.demandRate(now))),
+                           0,
+                           {}};
+  auto it = Members.find(member);
+  if (it == Members.end())
+    return out;
+  if (auto known = it->second.Granted.find(key);
+      known != it->second.Granted.end())
+    out.Granted = known->second;
+  if (auto delays = it->second.Delays.find(key);
+      delays != it->second.Delays.end())
+    out.Delays = delays->second;
+  out.QueueLength = uint32_t(team.Bucket.queueLength());
+  return out;
 }
 
 std::vector<FleetLink::TeamGrant>
--- a/src/libs/gateway/fleetlimiter.h
+++ b/src/libs/gateway/fleetlimiter.h
@@ -73,6 +73,8 @@
     bool Leaving = false;
     /// Tokens granted so far, by the key of the team's name.
     std::map<uint32_t, int64_t> Granted;
+    /// Delays of the calls that its newest message has listed.
+    std::map<uint32_t, std::vector<FleetLink::TeamDelay>> Delays;
   };
   struct Team {
     std::string Name;
--- a/src/libs/gateway/fleetmember.cpp
+++ b/src/libs/gateway/fleetmember.cpp
@@ -34,8 +34,8 @@
 }
 
 FleetLink::TeamUsage usageOf(uint32_t team, const Quota::TokenCounters &it) {
-  return {team,         it.Spent,        it.Granted,
-          it.Requested, it.FirstRequest, it.Demanded};
+  return {team,        it.Spent, it.Granted, it.Requested, it.FirstRequest,
+          it.Demanded, {}};
 }
 
 } // namespace
@@ -82,11 +82,13 @@
 
 std::optional<Quota::Decision>
 FleetMember::acquireTokens(const std::string &limit, uint64_t call,
-                           double tokens, TimePoint now) {
+                           double tokens, TimePoint now,
+                           const Quota::QueueTicket &ticket) {
   auto it = Limiters.find(limit);
   if (it == Limiters.end())
     return Quota::Decision{call, std::nullopt};
-  return it->second.acquire(call, tokens, isHolderResponsive(now), now, Random);
+  return it->second.acquire(call, tokens, isHolderResponsive(now), now, Random,
+                            ticket);
 }
 
 void FleetMember::cancelAcquire(const std::string &limit, uint64_t call) {
@@ -273,8 +275,13 @@
     Quota::TokenCounters counters = limiter.prepareReport(Sequence);
     sent[key] = counters;
     auto known = AckedCounters.find(key);
-    if (known == AckedCounters.end() || known->second != counters)
-      out.push_back(usageOf(key, counters));
+    if (known != AckedCounters.end() && known->second == counters &&
+        !limiter.hasWaitingCalls())
+      continue;
+    out.push_back(usageOf(key, counters));
+    for (const Quota::QueuedCall &it : limiter.queuedCalls())
+      out.back().Calls.push_back(
+          {it.Call, it.Hash, it.Tokens, uint32_t(it.Patience.count())});
   }
   if (SentCounters.size() > MaxUnansweredReports)
     SentCounters.erase(SentCounters.begin());
@@ -382,10 +389,14 @@
     if (teamGrant == grants.end() || own == sent->second.end())
       continue;
     AckedCounters[key] = own->second;
-    auto decided = limiter.applyAnswer({double(teamGrant->second->Level),
-                                        double(teamGrant->second->Demand),
-                                        teamGrant->second->Granted},
-                                       sequence, now);
+    Quota::HolderAnswer answer{double(teamGrant->second->Level),
+                               double(teamGrant->second->Demand),
+                               teamGrant->second->Granted,
+                               {}};
+    answer.QueueLength = teamGrant->second->QueueLength;
+    for (const FleetLink::TeamDelay &it : teamGrant->second->Delays)
+      answer.Delays.push_back({it.Call, Utils::Milliseconds(it.RetryAfterMs)});
+    auto decided = limiter.applyAnswer(answer, sequence, now);
     Decided.insert(Decided.end(), decided.begin(), decided.end());
   }
 }
--- a/src/libs/gateway/fleetmember.h
+++ b/src/libs/gateway/fleetmember.h
@@ -51,9 +51,9 @@
   /// Requests tokens of the limit, a team's or an endpoint's, for a call.
   /// Returns nothing if the decision is pending: it is made by the answer to a
   /// grant request, which the caller must send, or by expireAcquires().
-  std::optional<Quota::Decision> acquireTokens(const std::string &limit,
-                                               uint64_t call, double tokens,
-                                               TimePoint now);
+  std::optional<Quota::Decision>
+  acquireTokens(const std::string &limit, uint64_t call, double tokens,
+                TimePoint now, const Quota::QueueTicket &ticket = {});
   /// Drops the pending request of a call.
   void cancelAcquire(const std::string &limit, uint64_t call);
   void refundTokens(const std::string &limit, double tokens);
--- a/tests/auto/fleetlimits/limitsfleet.cpp
+++ b/tests/auto/fleetlimits/limitsfleet.cpp
@@ -228,18 +228,44 @@
                         : kind < 100 ? randomBetween(4000, 14'000)
                                      : randomBetween(20'000, 45'000));
   PendingTokens -= double(tokens);
+  Caller caller;
+  caller.Tokens = tokens;
+  caller.Hash = ++LastCallerHash;
+  if (Settings.ReturningShare + Settings.HammeringShare > 0) {
+    double kindOfCaller = std::uniform_real_distribution<double>(0, 1)(Random);
+    if (kindOfCaller < Settings.ReturningShare)
+      caller.Kind = CallerKind::Returning;
+    else if (kindOfCaller < Settings.ReturningShare + Settings.HammeringShare)
+      caller.Kind = CallerKind::Hammering;
+    caller.Deadline = Now + Milliseconds(randomBetween(1000, 6000));
+  }
+  bool inLimit =
+      ReferenceBucket.level(Now) >= std::min(double(tokens), Settings.Burst);
+  if (inLimit)
+    ReferenceBucket.take(double(tokens), Now);
+  Hammering += caller.Kind == CallerKind::Hammering;
+  Patient += caller.Kind == CallerKind::Returning;
+  submit(caller, inLimit);
+}
+
+/// Callers wait for at most a third of the time that they have left.
+Milliseconds LimitsFleet::patienceOf(const Caller &caller) const {
+  if (caller.Deadline <= Now)
+    return 0ms;
+  return std::chrono::floor<Milliseconds>(caller.Deadline - Now) / 3;
+}
+
+void LimitsFleet::submit(const Caller &caller, bool inLimit) {
   size_t i = randomGateway();
   if (!isUp(i) || !Nodes[i].Self)
     return;
   ++Calls;
   Node &node = Nodes[i];
-  bool inLimit =
-      ReferenceBucket.level(Now) >= std::min(double(tokens), Settings.Burst);
-  if (inLimit)
-    ReferenceBucket.take(double(tokens), Now);
   uint64_t number = ++LastCallNumber;
-  node.Waiting[number] = {tokens, Now, inLimit};
-  auto decision = node.Self->acquireTokens(Team, number, double(tokens), Now);
+  node.Waiting[number] = {caller.Tokens, Now, inLimit, caller};
+  auto decision = node.Self->acquireTokens(
+      Team, number, double(caller.Tokens), Now,
+      {Settings.Queues ? caller.Hash : 0, patienceOf(caller)});
   if (decision)
     return applyDecisions(node, {*decision});
   if (node.InFlightRequest == 0)
@@ -257,11 +283,40 @@
     if (it.isAdmitted()) {
       runOrRefund(size_t(&node - Nodes.data()), node.Incarnation,
                   waiting.Tokens);
+      recordAdmitted(waiting.From);
       continue;
     }
     ++Refused;
     RefusedInLimit += waiting.InLimit;
+    repeatRejected(waiting.From, *it.RetryAfter);
+  }
+}
+
+void LimitsFleet::recordAdmitted(const Caller &caller) {
+  if (caller.Kind == CallerKind::Hammering) {
+    ++HammeringAdmitted;
+    return;
   }
+  PatientAdmitted += caller.Kind == CallerKind::Returning;
+  ReturnedAdmitted += caller.Repeats > 0;
+}
+
+void LimitsFleet::repeatRejected(Caller caller, Milliseconds retryAfter) {
+  constexpr uint32_t maxHammering = 5;
+  uint32_t most = caller.Kind == CallerKind::Once        ? 0
+                  : caller.Kind == CallerKind::Returning ? 1
+                                                         : maxHammering;
+  if (caller.Repeats++ >= most)
+    return;
+  bool returns = caller.Kind == CallerKind::Returning;
+  if (returns && retryAfter > patienceOf(caller))
+    return;
+  // The answer and the repetition each take a few milliseconds.
+  Milliseconds travel(randomBetween(2, 10));
+  schedule(returns ? retryAfter + travel : travel, [this, caller, returns] {
+    Returned += returns;
+    submit(caller, false);
+  });
 }
 
 void LimitsFleet::runOrRefund(size_t i, uint64_t incarnation, int64_t tokens) {
--- a/tests/auto/fleetlimits/limitsfleet.h
+++ b/tests/auto/fleetlimits/limitsfleet.h
@@ -35,6 +35,15 @@
     double LossRate = 0;
     /// Fraction of the admitted calls that are cancelled before they run.
     double CancelledShare = 0.02;
+    /// Fraction of the callers that repeat a rejected call once, after the
+    /// delay that the rejection names, if that is at most a third of the time
+    /// they have left.
+    double ReturningShare = 0;
+    /// Fraction of the callers that repeat a rejected call at once, up to five
+    /// times, whatever delay the rejection names.
+    double HammeringShare = 0;
+    /// Whether the calls take part in the virtual queue.
+    bool Queues = true;
   };
 
   LimitsFleet(Setup setup, uint64_t seed);
@@ -72,12 +81,31 @@
   size_t RefusedInLimit = 0;
   double TokensRun = 0;
   Milliseconds LongestWait{0};
+  /// Calls that were repeated after the delay named, and those admitted.
+  size_t Returned = 0;
+  size_t ReturnedAdmitted = 0;
+  /// Calls of callers that repeat at once, and those admitted at last.
+  size_t Hammering = 0;
+  size_t HammeringAdmitted = 0;
+  /// Callers that return once, as told, and those admitted at last.
+  size_t Patient = 0;
+  size_t PatientAdmitted = 0;
 
 private:
+  enum class CallerKind { Once, Returning, Hammering };
+  /// What stays the same when a caller repeats a call.
+  struct Caller {
+    CallerKind Kind = CallerKind::Once;
+    uint64_t Hash = 0;
+    int64_t Tokens = 0;
+    TimePoint Deadline{};
+    uint32_t Repeats = 0;
+  };
   struct WaitingCall {
     int64_t Tokens = 0;
     TimePoint Since{};
     bool InLimit = false;
+    Caller From{};
   };
   struct Node {
     std::optional<Gateway::FleetMember> Self;
@@ -103,6 +131,10 @@
   void tick();
   void stepGateway(Node &node, size_t i);
   void addCall();
+  void submit(const Caller &caller, bool inLimit);
+  Milliseconds patienceOf(const Caller &caller) const;
+  void recordAdmitted(const Caller &caller);
+  void repeatRejected(Caller caller, Milliseconds retryAfter);
   void applyDecisions(Node &node,
                       const std::vector<Quota::Decision> &decisions);
   void runOrRefund(size_t i, uint64_t incarnation, int64_t tokens);
@@ -128,6 +160,7 @@
   /// Bucket levels in the duty's record.
   std::optional<std::map<uint32_t, double>> RecordedLevels;
   uint64_t LastCallNumber = 0;
+  uint64_t LastCallerHash = 0;
   uint64_t Incarnations = 0;
   double PendingTokens = 0;
   /// Traffic begins some time after the gateways start.
--- a/tests/auto/fleetlimits/tst_fleetlimits.cpp
+++ b/tests/auto/fleetlimits/tst_fleetlimits.cpp
@@ -297,3 +297,76 @@
   start.IsFirstStart = true;
   CHECK(levelsOf(start)[kitchen] == 2000);
 }
+
+namespace {
+
+/// A team that asks for three times its limit, with callers of whom most repeat
+/// a rejected call when they are told to.
+LimitsFleet::Setup makeCrowd(size_t gateways) {
+  LimitsFleet::Setup out = makeSetup(gateways, 0);
+  out.Rate = 340'000;
+  out.Burst = 340'000;
+  out.OfferedRate = 3 * out.Rate;
+  out.ReturningShare = 0.6;
+  out.HammeringShare = 0.2;
+  return out;
+}
+
+} // namespace
+
+TEST_CASE("tokens of a crowd of three times the limit are not left unused for "
+          "callers that do not return") {
+  for (size_t gateways : {8, 79}) {
+    for (double burstSeconds : {0.1, 1.0}) {
+      CAPTURE(gateways);
+      CAPTURE(burstSeconds);
+      LimitsFleet::Setup setup = makeCrowd(gateways);
+      setup.Burst = setup.Rate * burstSeconds;
+      LimitsFleet fleet(setup, 1);
+      fleet.run(2s); // The burst is used up and the queue has formed.
+      double before = fleet.TokensRun;
+      fleet.run(6s);
+      CHECK((fleet.TokensRun - before) / (6 * setup.Rate) >= 0.97);
+      CHECK(fleet.maxExcess() < 0);
+    }
+  }
+}
+
+TEST_CASE("nine of ten callers that return when a rejection tells them to are "
+          "served, and those that repeat at once gain nothing") {
+  for (size_t gateways : {8, 79}) {
+    CAPTURE(gateways);
+    LimitsFleet fleet(makeCrowd(gateways), 1);
+    fleet.run(8s);
+    double served = double(fleet.ReturnedAdmitted) / double(fleet.Returned);
+    double patient = double(fleet.PatientAdmitted) / double(fleet.Patient);
+    double hammering =
+        double(fleet.HammeringAdmitted) / double(fleet.Hammering);
+    CAPTURE(patient);
+    CAPTURE(hammering);
+    CHECK(fleet.Returned >= 300);
+    CHECK(served >= 0.9);
+    CHECK(hammering <= patient);
+  }
+}
+
+TEST_CASE("limit holds under any three faults with returning callers") {
+  for (size_t gateways : {8, 81}) {
+    double worst = -1e18;
+    for (uint64_t seed = 1; seed <= scheduleCount(40); ++seed) {
+      LimitsFleet::Setup setup = makeSetup(gateways, 5);
+      setup.ReturningShare = 0.6;
+      setup.HammeringShare = 0.2;
+      LimitsFleet fleet(setup, seed);
+      std::string faults;
+      for (size_t i = 0; i < 3; ++i)
+        faults += addFault(fleet);
+      fleet.run(20s);
+      CAPTURE(faults);
+      CAPTURE(seed);
+      worst = std::max(worst, fleet.maxExcess());
+      CHECK(fleet.maxExcess() < 0);
+    }
+    MESSAGE("largest excess with " << gateways << " gateways: " << worst);
+  }
+}
--- a/tests/auto/fleetlink/tst_fleetlink.cpp
+++ b/tests/auto/fleetlink/tst_fleetlink.cpp
@@ -14,7 +14,7 @@
   out.Address = "10.0.0.1:7600";
   out.Incarnation = 5;
   out.Sequence = 6;
-  out.Teams = {{hashName("kitchen"), -3, 4, 5, 6, 7}};
+  out.Teams = {{hashName("kitchen"), -3, 4, 5, 6, 7, {{1, 2, 3, 4}}}};
   out.Waiting = {{"s", "m", "a1", 2, 400}};
   out.ModelMisses = {{"i-1", "m", ""}};
   out.Crashes = {{hashName("i-1"), 30, {{50, {1, 2}}}}};
@@ -27,7 +27,7 @@
   Heartbeat out;
   out.Holder = "vm";
   out.Token = 9;
-  out.Teams = {{hashName("kitchen"), -100, 20, 3}};
+  out.Teams = {{hashName("kitchen"), -100, 20, 3, {{5, 250}}, 6}};
   EndpointEntry entry;
   entry.Endpoint = "i-1";
   entry.Address = "10.0.0.9:80";
@@ -48,6 +48,8 @@
   REQUIRE(report);
   CHECK(report->Teams[0].Spent == -3);
   CHECK(report->Teams[0].Demanded == 7);
+  CHECK(report->Teams[0].Calls.at(0).Hash == 2);
+  CHECK(report->Teams[0].Calls.at(0).PatienceMs == 4);
   CHECK(report->Waiting[0].Adapter == "a1");
   CHECK(report->ModelMisses[0].Endpoint == "i-1");
   CHECK(report->Crashes[0].Suspects[0].Parts == std::vector<uint64_t>{1, 2});
@@ -62,6 +64,8 @@
   REQUIRE(heartbeat);
   CHECK(heartbeat->Token == 9);
   CHECK(heartbeat->Teams[0].Level == -100);
+  CHECK(heartbeat->Teams[0].Delays.at(0).RetryAfterMs == 250);
+  CHECK(heartbeat->Teams[0].QueueLength == 6);
   CHECK(heartbeat->Entries[0].Models[0].Adapters[0].ReadyInMs == 15);
   CHECK(heartbeat->Quarantined[0].RemainingMs == 4000);
   CHECK(heartbeat->WatchedParts == std::vector<uint64_t>{1});
--- a/tests/auto/gateway/tst_gateway.cpp
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -230,6 +230,35 @@
   CHECK(arrivals() == 1);
 }
 
+TEST_CASE_FIXTURE(TwoEndpointFixture,
+                  "calls over the limit of their team are told successive "
+                  "times, and a repeated call its old time") {
+  Fleet::Team team;
+  team.Name = "kitchen";
+  team.Keys = {"k"};
+  team.RatePerSecond = 0.5;
+  team.Burst = 1;
+  Config.Teams = {team};
+  publish();
+  auto delayOf = [&](const std::string &route) {
+    RawCaller &caller = call(route, "Credential: k\r\n");
+    REQUIRE(statusOf(caller) == 429);
+    size_t at = caller.Received.find("Retry-After: ");
+    REQUIRE(at != std::string::npos);
+    return std::stod(caller.Received.substr(at + 13));
+  };
+  script({answer(200, "ok")});
+  CHECK(statusOf(call("/safe/", "Credential: k\r\n")) == 200);
+  double first = delayOf("/safe/");
+  double second = delayOf("/stream/");
+  double repeated = delayOf("/safe/");
+  CHECK(first <= 2);
+  CHECK(second >= first + 1); // One call takes 2 s, less the time between.
+  CHECK(repeated <= first);
+  CHECK(metrics().find("hickory_gateway_limit_retry_after_seconds") !=
+        std::string::npos);
+}
+
 TEST_CASE("key is not trusted once it may have been revoked unnoticed before "
           "the call reaches the endpoint") {
   GatewayFixture fixture;
