Tell calls of one route apart in the virtual queue by their target

Cause: calls without a model and a prompt had the route alone as identity, so that one reservation held up all other calls of the team on it. Change: the target of the request is part of the identity.

--- a/src/libs/gateway/call.cpp
+++ b/src/libs/gateway/call.cpp
@@ -149,7 +149,8 @@
 Quota::QueueTicket Call::queueTicket() const {
   // Callers wait for at most a third of the time that they have left.
   constexpr int patienceDivisor = 3;
-  std::string identity = Team->Name + '\n' + Route->Name + '\n' +
+  // The target tells calls apart that have neither a model nor a prompt.
+  std::string identity = Team->Name + '\n' + Request.Target + '\n' +
                          Metadata.Model + '\n' + Metadata.Adapter;
   for (const PromptPart &it : Metadata.Prompt)
     identity += '\n' + it.Id;
