Check at the losing endpoint that its copy is cancelled

tst_hedging counted closed connections of both endpoints, so that a spare idle connection that expired passed for a cancelled copy: three cases passed with the cancellation removed.

The cases now look at the endpoint of the losing copy, and the calls before follow one another, so that each endpoint has one connection.

--- a/tests/auto/hedging/tst_hedging.cpp
+++ b/tests/auto/hedging/tst_hedging.cpp
@@ -22,7 +22,7 @@
 const Script Silent{};
 const Script Broken{"", Action::Reset};
 
-/// A gateway with two endpoints that usually answer after 50 ms.
+/// A gateway with two endpoints that usually answer after 20 ms.
 struct HedgingFixture : GatewayFixture {
   explicit HedgingFixture(double share = 0.2) {
     Settings.HedgeShare = share;
@@ -48,20 +48,29 @@
     return prefix == "/once/" ? call(prefix, "Content-Length: 0\r\n", "POST")
                               : call(prefix);
   }
-  /// Makes calls until the gateway knows the usual time to first byte.
+  /// Makes just enough calls that the gateway knows the usual time to first
+  /// byte. They follow one another, so that no spare connection is left whose
+  /// close would count as a cancelled copy.
   void learnUsualTime(const std::string &prefix = "/safe/") {
-    constexpr int enough = 45;
-    std::vector<RawCaller *> callers;
+    constexpr int enough = 40;
     for (int i = 0; i < enough; ++i)
-      callers.push_back(&callRoute(prefix));
-    for (RawCaller *it : callers)
-      CHECK(statusOf(*it) == 200);
+      CHECK(statusOf(callRoute(prefix)) == 200);
     Arrivals = 0;
-    EndedBefore = ended();
   }
-  int ended() { return Endpoints.front().Ended + Endpoints.back().Ended; }
-  /// Connections that the gateway has closed since it knows the usual time.
-  int cancelled() { return ended() - EndedBefore; }
+  bool frontCameFirst() {
+    return Endpoints.front().ArrivalTimes.back() <
+           Endpoints.back().ArrivalTimes.back();
+  }
+  /// The endpoints of the first and the second copy of the latest call.
+  ScriptedEndpoint &firstReached() {
+    return frontCameFirst() ? Endpoints.front() : Endpoints.back();
+  }
+  ScriptedEndpoint &secondReached() {
+    return frontCameFirst() ? Endpoints.back() : Endpoints.front();
+  }
+  bool bothClosed() {
+    return firstReached().Ended == 1 && secondReached().Ended == 1;
+  }
   /// Whether the metrics have this line.
   bool counts(const std::string &line) {
     return metrics().find(line + "\n") != std::string::npos;
@@ -70,11 +79,10 @@
     return caller.Received.find(text) != std::string::npos;
   }
 
-  Script Usual = after(50ms, answer(200, "usual"));
+  Script Usual = after(20ms, answer(200, "usual"));
   /// Responses to the next requests, whichever endpoint receives them.
   std::deque<Script> Responses;
   int Arrivals = 0;
-  int EndedBefore = 0;
 };
 
 struct UnhedgedFixture : HedgingFixture {
@@ -91,7 +99,7 @@
   RawCaller &caller = call("/safe/");
   CHECK(statusOf(caller) == 200);
   CHECK(received(caller, "copy"));
-  runUntil([&] { return cancelled() == 1; });
+  runUntil([&] { return firstReached().Ended == 1; });
   CHECK(Arrivals == 2);
   CHECK(counts("hickory_gateway_hedges_sent_total 1"));
   CHECK(counts("hickory_gateway_hedges_won_total 1"));
@@ -118,7 +126,7 @@
   RawCaller &caller = call("/safe/");
   CHECK(statusOf(caller) == 200);
   CHECK(received(caller, "first"));
-  runUntil([&] { return cancelled() == 1; });
+  runUntil([&] { return secondReached().Ended == 1; });
   CHECK(Arrivals == 2);
   CHECK_FALSE(counts("hickory_gateway_hedges_won_total 1"));
 }
@@ -152,9 +160,7 @@
   Responses = {Silent, after(300ms, answer(200, "copy"))};
   RawCaller &caller = call("/safe/");
   runUntil([&] { return Arrivals == 2; });
-  bool firstAtFront = Endpoints.front().ArrivalTimes.back() <
-                      Endpoints.back().ArrivalTimes.back();
-  (firstAtFront ? Endpoints.front() : Endpoints.back()).resetAll();
+  firstReached().resetAll();
   CHECK(statusOf(caller) == 200);
   CHECK(received(caller, "copy"));
   CHECK(Arrivals == 2);
@@ -200,7 +206,7 @@
   RawCaller &caller = call("/safe/");
   runUntil([&] { return Arrivals == 2; });
   caller.disconnect();
-  runUntil([&] { return cancelled() == 2; });
+  runUntil([&] { return bothClosed(); });
 }
 
 TEST_CASE_FIXTURE(HedgingFixture, "both copies are cancelled at the deadline") {
@@ -209,7 +215,7 @@
   learnUsualTime();
   Responses = {Silent, Silent};
   CHECK(statusOf(call("/safe/")) == 504);
-  runUntil([&] { return cancelled() == 2; });
+  runUntil([&] { return bothClosed(); });
   CHECK(Arrivals == 2);
 }
 
@@ -220,7 +226,7 @@
   runUntil([&] { return Arrivals == 2; });
   Process->shutDown();
   CHECK(statusOf(caller) == 504);
-  runUntil([&] { return cancelled() >= 2; });
+  runUntil([&] { return bothClosed(); });
 }
 
 TEST_CASE_FIXTURE(HedgingFixture,
@@ -229,7 +235,7 @@
   publish();
   for (const char *prefix : {"/once/", "/stream/"}) {
     Usual =
-        after(50ms, prefix == std::string("/once/") ? answer(200, "usual")
+        after(20ms, prefix == std::string("/once/") ? answer(200, "usual")
                                                     : answer(200, "id: 1\n\n"));
     learnUsualTime(prefix);
     Responses = {Silent};
