Move the choice of overloaded models to a file of its own

The decisions are the same as before. A simulation of engines, slots, copies on disk and the weight store shows how plan() follows demand: a rise to six engines within two seconds, demand that moves on every four seconds, steady demand, an idle model. All of it passes with the code before the move too.

--- a/src/libs/residency/plan.cpp
+++ b/src/libs/residency/plan.cpp
@@ -1,7 +1,10 @@
 #include "residency/plan.h"
 
+#include "residency/scaleout.h"
+
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <optional>
 #include <set>
 #include <tuple>
@@ -14,9 +17,6 @@
 /// Estimated wait in seconds until a model's in-flight calls have ended and it
 /// can be unloaded.
 constexpr double DrainWaitSeconds = 0.4;
-/// Utilization of the slots of a model's engines above which another replica is
-/// loaded; the remaining slots absorb bursts while it loads.
-constexpr double ScaleOutUtilization = 0.5;
 /// Seconds of waiting that another replica saves if all slots are in use.
 constexpr double ScaleOutGainSeconds = 1.5;
 /// Maximum number of replicas loaded at once for a model that calls wait for.
@@ -43,7 +43,9 @@
 class Planner {
 public:
   explicit Planner(const PlanInput &input)
-      : Input(input), StoreLoads(input.StoreLoadsLeft) {
+      : Input(input), StoreLoads(input.StoreLoadsLeft),
+        RatesByEngine(input.Replicas, input.Usage, input.Now),
+        Overloaded(overloadedModels(RatesByEngine, input.EngineOf)) {
     for (const auto &[id, replica] : Input.Replicas)
       for (const HeldModel &it : replica.Models)
         if (replica.Usable && !it.isUnloading())
@@ -58,7 +60,7 @@
               });
     for (const PendingCalls &calls : pending)
       loadPending(calls);
-    scaleOut();
+    scaleOut(-std::numeric_limits<double>::infinity());
     for (const auto &[id, replica] : Input.Replicas)
       fillFreeMemory(replica);
     return std::move(Tasks);
@@ -123,22 +125,12 @@
     }
   }
 
-  /// Adds replicas of models whose engines are overloaded: calls queue there
-  /// and are rejected once the queues are full, while other engines are idle.
-  void scaleOut() {
-    std::vector<std::pair<double, ModelKey>> overloaded;
-    for (const auto &[key, load] : loadByModel())
-      if (const Fleet::Engine *engine = Input.EngineOf(key.Service);
-          engine && engine->Slots > 0) {
-        double utilization =
-            std::max(load / (double(replicaCount(key)) * engine->Slots),
-                     limitUtilization(key) * ScaleOutUtilization);
-        if (utilization > ScaleOutUtilization)
-          overloaded.emplace_back(utilization, key);
-      }
-    std::sort(overloaded.rbegin(), overloaded.rend());
-    for (const auto &[utilization, key] : overloaded)
-      addReplicas(key, utilization);
+  /// Adds replicas of models whose engines are overloaded and that have more
+  /// than `minWaiting` calls without a slot. Each model is tried once.
+  void scaleOut(double minWaiting) {
+    for (const OverloadedModel &it : Overloaded)
+      if (it.CallsWithoutSlot > minWaiting && ScaledOut.insert(it.Key).second)
+        addReplicas(it.Key, it.Utilization);
   }
 
   void addReplicas(const ModelKey &key, double utilization) {
@@ -159,58 +151,6 @@
     }
   }
 
-  /// Calls per second of the model at each engine that has loaded it.
-  double callRatePerReplica(const ModelKey &key) const {
-    uint32_t n = replicaCount(key);
-    return n == 0 ? 0 : callRate(key) / n;
-  }
-
-  /// Calls per second of all models that the engine holds.
-  double callRateAt(const EngineReplica &replica) const {
-    double sum = 0;
-    for (const HeldModel &it : replica.Models)
-      sum += callRatePerReplica({replica.Service, it.Name});
-    return sum;
-  }
-
-  /// Call rate of the model relative to what the limits of its engines allow
-  /// it, in proportion to the rates of the models there; 0 if an engine that
-  /// holds it has no limit.
-  double limitUtilization(const ModelKey &key) const {
-    double allowed = 0;
-    for (const auto &[id, replica] : Input.Replicas) {
-      const HeldModel *held =
-          replica.Service == key.Service ? replica.find(key.Model) : nullptr;
-      if (!held || !replica.Usable || held->isUnloading())
-        continue;
-      if (replica.CallLimit == 0)
-        return 0;
-      if (double rate = callRateAt(replica); rate > 0)
-        allowed += replica.CallLimit * callRatePerReplica(key) / rate;
-    }
-    return allowed > 0 ? callRate(key) / allowed : 0;
-  }
-
-  /// Whether the models that the engine holds use up its limit.
-  bool isOverLimit(const EngineReplica &replica) const {
-    return replica.CallLimit > 0 && callRateAt(replica) >= replica.CallLimit;
-  }
-
-  /// In-flight calls by model: those of an engine are divided among its models
-  /// in proportion to their call rates.
-  std::map<ModelKey, double> loadByModel() const {
-    std::map<ModelKey, double> out;
-    for (const auto &[id, replica] : Input.Replicas) {
-      double sum = callRateAt(replica);
-      for (const HeldModel &it : replica.Models)
-        if (sum > 0 && replica.Usable && !it.isUnloading()) {
-          ModelKey key{replica.Service, it.Name};
-          out[key] += replica.Load * callRatePerReplica(key) / sum;
-        }
-    }
-    return out;
-  }
-
   std::optional<LoadOption> bestOption(const ModelKey &key,
                                        const Fleet::Engine &engine,
                                        const Fleet::Model &model,
@@ -219,7 +159,7 @@
     std::optional<LoadOption> best;
     for (const auto &[id, replica] : Input.Replicas) {
       if (replica.Service != key.Service || !canChangeModels(replica) ||
-          isOverLimit(replica) || replica.find(key.Model))
+          RatesByEngine.isOverLimit(replica) || replica.find(key.Model))
         continue;
       auto option = optionAt(replica, engine, model, calls, allowStore);
       if (option && (!best || option->Cost < best->Cost))
@@ -460,6 +400,9 @@
   mutable std::map<ModelKey, double> Rates;
   mutable std::unordered_map<const HeldModel *, double> EvictionCosts;
   uint32_t StoreLoads;
+  CallRates RatesByEngine;
+  std::vector<OverloadedModel> Overloaded;
+  std::set<ModelKey> ScaledOut;
   std::vector<Task> Tasks;
   std::set<std::string> ScheduledReplicas;
   std::set<ModelKey> ScheduledModels;
--- a/src/libs/residency/residency.h
+++ b/src/libs/residency/residency.h
@@ -7,6 +7,7 @@
 #include "residency/demand.h"
 #include "residency/enginereplica.h"
 #include "residency/plan.h"
+#include "residency/scaleout.h"
 #include "residency/storeloadlimiter.h"
 
 #endif // RESIDENCY_RESIDENCY_H
