Test an evacuation at a gateway that the store rejects

Change: the gateway gets the record and its withdrawal from the holder only. It closes the domain within the bound and opens it again. Fails when relayed records are not applied and when domains never close.

--- a/tests/auto/takeover/evacuation.cpp
+++ b/tests/auto/takeover/evacuation.cpp
@@ -44,6 +44,9 @@
     REQUIRE_FALSE(endpoint.ArrivalTimes.empty());
     return endpoint.ArrivalTimes.back();
   }
+  bool metricsContain(const std::string &line) {
+    return metrics().find("\n" + line + "\n") != std::string::npos;
+  }
 
   std::vector<std::string> CallerAddresses;
 };
@@ -97,6 +100,20 @@
   }
 };
 
+/// A gateway that the store rejects beside a holder that reads the store. The
+/// only endpoint is in domain a.
+struct RejectedFixture : FleetFixture {
+  RejectedFixture() : FleetFixture(3s) {
+    addRoute("/safe/", "s", Fleet::RouteKind::Safe);
+    addDomain("a", {});
+    startHolder();
+    start();
+    CHECK(status() == 200);
+    StoreAnswers = false;
+  }
+  unsigned status() { return statusOf(call("/safe/")); }
+};
+
 } // namespace
 
 // Guards against an evacuation that ends, or whose models are loaded nowhere
@@ -119,3 +136,26 @@
   CHECK(hasLoaded("i-2", "m0"));
   CHECK(Engines["i-1"].AcceptedOrders.empty());
 }
+
+// Guards against calls to the domain at a gateway that hears of the evacuation
+// from the holder only.
+TEST_CASE_FIXTURE(RejectedFixture,
+                  "gateway that the store rejects closes a domain by the "
+                  "records that the holder relays, and opens it again") {
+  Utils::TimePoint writtenAt = write("{}");
+  Utils::TimePoint bound = writtenAt + *Settings.EvacuationBound;
+  while (BootClock::now() < bound + 500ms) {
+    unsigned got = status();
+    CHECK((got == 200 || got == 503));
+    waitUntil(BootClock::now() + 10ms);
+  }
+  CHECK(lastArrival("i-1") > writtenAt);
+  CHECK(lastArrival("i-1") < bound);
+  CHECK(status() == 503);
+  CHECK(metricsContain("hickory_gateway_evacuated_domains 1"));
+  CHECK(metricsContain("hickory_gateway_relayed_reads_total 1"));
+  write(std::nullopt);
+  runUntil(
+      [&] { return metricsContain("hickory_gateway_evacuated_domains 0"); });
+  CHECK(status() == 200);
+}
