--- a/tests/auto/gateway/gatewayfixture.cpp
+++ b/tests/auto/gateway/gatewayfixture.cpp
@@ -162,8 +162,10 @@
     const std::function<void(Gateway::OrderReply)> &done) {
   FakeEngine &engine = Engines[id];
   engine.StaleOrders += metadata.ExpectedOrders < engine.Orders;
-  if (engine.Busy || metadata.ExpectedOrders != engine.Orders)
+  if (engine.Busy || metadata.ExpectedOrders != engine.Orders) {
+    ++engine.RejectedOrders;
     return done(Gateway::OrderReply::OutOfSequence);
+  }
   ++engine.Orders;
   engine.AcceptedOrders.push_back(order);
   bool isModel = order.Adapter.empty();
--- a/tests/auto/gateway/gatewayfixture.h
+++ b/tests/auto/gateway/gatewayfixture.h
@@ -50,6 +50,7 @@
   Utils::TimePoint BackoffUntil{};
   /// Number of orders that were based on an outdated report.
   int StaleOrders = 0;
+  int RejectedOrders = 0;
 };
 
 /// Another gateway of the fleet, before the same store. It runs on a loop of
