Test the wire format of evacuations and their cause in explain

The cases of the wire fail with a key that never names a domain and a value that is never checked; the case of explain fails with the cause of no_endpoint.

--- a/tests/auto/explain/tst_explain.cpp
+++ b/tests/auto/explain/tst_explain.cpp
@@ -347,3 +347,12 @@
   checkCauseContains("r", "40 ms of it waiting for model m");
   checkCauseContains("r", "sent 2 times");
 }
+
+// Guards against a call in an evacuation that is explained as a failure.
+TEST_CASE_FIXTURE(GatewayLogs,
+                  "explanation of a call refused because of an evacuation "
+                  "names the evacuated domains") {
+  add("g1", ended("domain_evacuated", 503).with("retry_after_ms", 1000));
+  checkCauseContains("r", "all ready endpoints of its service were in "
+                          "evacuated failure domains");
+}
--- a/tests/auto/sitewire/tst_sitewire.cpp
+++ b/tests/auto/sitewire/tst_sitewire.cpp
@@ -3,8 +3,10 @@
 #include "platform/engineclient.h"
 #include "platform/keyedlog.h"
 #include "platform/operatorconfig.h"
+#include "platform/storeclient.h"
 #include "platform/systemsettings.h"
 
+#include <asio/io_context.hpp>
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
 
@@ -349,6 +351,42 @@
       "end":6})"));
 }
 
+namespace {
+
+struct StoreClientFixture {
+  asio::io_context Loop;
+  HttpIo::ClientPool Pool{Loop};
+  Gateway::Store Store = makeStoreClient(Pool, Loop, "127.0.0.1:9");
+};
+
+} // namespace
+
+// Guards against an evacuation that is not recognized, and against another key
+// that is taken for one.
+TEST_CASE_FIXTURE(StoreClientFixture,
+                  "key of an evacuation names the failure domain, which may "
+                  "contain any character") {
+  CHECK(Store.EvacuatedDomain("evacuate/z-1") == "z-1");
+  CHECK(Store.EvacuatedDomain("evacuate/a/b c") == "a/b c");
+  for (const char *key : {"", "config", "evacuate", "evacuate/", "evacuated/z",
+                          "x/evacuate/z", "Evacuate/z"}) {
+    CAPTURE(key);
+    CHECK_FALSE(Store.EvacuatedDomain(key));
+  }
+}
+
+// Guards against a value with members of a later version that is reported as
+// unreadable, and against one of another type that is not.
+TEST_CASE_FIXTURE(StoreClientFixture,
+                  "value of an evacuation is a JSON object with any members") {
+  CHECK(Store.CheckEvacuation("{}"));
+  CHECK(Store.CheckEvacuation(R"({"until":{"s":3}})"));
+  for (const char *value : {"", "{", "[]", "null", "1", "\"z\"", "{} x"}) {
+    CAPTURE(value);
+    CHECK_FALSE(Store.CheckEvacuation(value));
+  }
+}
+
 TEST_CASE("settings file without a required bound is an error that names it") {
   json text = json::parse(R"({"node_name":"v","ip_address":"10.0.0.1",
     "zone":"z","listen_addresses":{"front":"10.0.0.1:1","ready":"10.0.0.1:2"},
