Test the end of the grace period while calls come

Change: calls every 5 ms to the only ready endpoint, whose domain is evacuated with a bound of 2 s. They are answered in the grace period and refused after it, and none arrives after the bound.

--- a/tests/auto/gateway/evacuation.cpp
+++ b/tests/auto/gateway/evacuation.cpp
@@ -1,6 +1,7 @@
 #include "gatewayfixture.h"
 
 #include <doctest/doctest.h>
+#include <utility>
 
 using namespace std::chrono_literals;
 using Fleet::RouteKind;
@@ -84,6 +85,30 @@
   CHECK(arrivalsAt("a") == 3);
 }
 
+// Guards against a grace period that ends only when something else changes.
+TEST_CASE_FIXTURE(TwoDomainFixture,
+                  "domain gets its last call before the bound while calls "
+                  "come") {
+  Settings.EvacuationBound = 2s;
+  start();
+  drainEndpoint("i-2");
+  Utils::TimePoint bound = Utils::BootClock::now() + *Settings.EvacuationBound;
+  evacuate("a");
+  constexpr unsigned refused = 503;
+  unsigned status = 0;
+  while (Utils::BootClock::now() < bound + 200ms) {
+    unsigned previous = std::exchange(status, statusOf(call("/safe/")));
+    CHECK((status == refused || status == 200));
+    CHECK((status == refused || previous != refused)); // It stays closed.
+    runUntil([&, until = Utils::BootClock::now() + 5ms] {
+      return Utils::BootClock::now() >= until;
+    });
+  }
+  CHECK(status == refused);
+  REQUIRE(arrivalsAt("a") > 0);
+  CHECK(Endpoints.front().ArrivalTimes.back() < bound);
+}
+
 TEST_CASE_FIXTURE(TwoDomainFixture,
                   "domain whose evacuation is withdrawn gets calls again") {
   Settings.EvacuationBound.reset();
