--- a/src/app/commandline.cpp
+++ b/src/app/commandline.cpp
@@ -15,6 +15,9 @@
     double, hedge_share, 0,
     "gateway: second copies of slow calls, as a share of all first sends, "
     "0 to 0.2; 0 sends none");
+ABSL_FLAG(bool, queue_over_limit, false,
+          "gateway: give calls over their team's limit a reservation in a "
+          "virtual queue");
 ABSL_FLAG(bool, json, false, "print machine-readable JSON");
 ABSL_FLAG(bool, delete_missing, false,
           "import: delete rows that the sheet leaves out");
@@ -26,7 +29,9 @@
 const std::vector<Command> &commands() {
   static const std::vector<Command> table = {
       {"serve", "serve --settings FILE", "run a daemon", runServe},
-      {"gateway", "gateway [--metrics_port N] [--hedge_share SHARE]",
+      {"gateway",
+       "gateway [--metrics_port N] [--hedge_share SHARE] "
+       "[--queue_over_limit]",
        "run a gateway on a VM of the platform, with the settings file that "
        "HICKORYSPRING_CONFIG names",
        runGateway},
@@ -59,7 +64,7 @@
     return helpText("");
   return "usage:\n" + text +
          "flags: --settings --table --actor --admin --id --json "
-         "--metrics_port --hedge_share "
+         "--metrics_port --hedge_share --queue_over_limit "
          "--delete_missing "
          "--reference\n"
          "exit codes: 0 done, 1 refused or faulty, 2 wrong usage, 3 no "
--- a/src/app/commandline.h
+++ b/src/app/commandline.h
@@ -13,6 +13,7 @@
 ABSL_DECLARE_FLAG(bool, json);
 ABSL_DECLARE_FLAG(uint16_t, metrics_port);
 ABSL_DECLARE_FLAG(double, hedge_share);
+ABSL_DECLARE_FLAG(bool, queue_over_limit);
 ABSL_DECLARE_FLAG(bool, delete_missing);
 ABSL_DECLARE_FLAG(bool, reference);
 
--- a/src/app/gatewaycommand.cpp
+++ b/src/app/gatewaycommand.cpp
@@ -34,6 +34,7 @@
   }
   settings.value().MetricsPort = absl::GetFlag(FLAGS_metrics_port);
   settings.value().HedgeShare = hedgeShare;
+  settings.value().QueueOverLimit = absl::GetFlag(FLAGS_queue_over_limit);
   std::signal(SIGPIPE, SIG_IGN);
   std::signal(SIGHUP, SIG_IGN);
   Utils::EventLog log(STDOUT_FILENO, settings->VmName);
--- a/src/libs/gateway/call.cpp
+++ b/src/libs/gateway/call.cpp
@@ -140,7 +140,9 @@
 }
 
 void Call::requestTokens() {
-  if (auto decision = requestTokensOf(Team->Name, tokenCost(), queueTicket()))
+  if (auto decision = requestTokensOf(
+          Team->Name, tokenCost(),
+          State.Settings.QueueOverLimit ? queueTicket() : Quota::QueueTicket{}))
     onTeamDecided(*decision);
 }
 
--- a/src/libs/gateway/gatewaysettings.h
+++ b/src/libs/gateway/gatewaysettings.h
@@ -82,6 +82,8 @@
   /// Second copies of slow calls, as a share of the first sends of a service; 0
   /// sends none.
   double HedgeShare = 0;
+  /// Calls over the limit of their team get a reservation in its virtual queue.
+  bool QueueOverLimit = false;
 };
 
 } // namespace Gateway
--- a/tests/auto/balance/hedging.cpp
+++ b/tests/auto/balance/hedging.cpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <queue>
 #include <string>
+#include <utility>
 
 using namespace std::chrono_literals;
 using namespace Balance;
--- a/tests/auto/gateway/tst_gateway.cpp
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -230,7 +230,15 @@
   CHECK(arrivals() == 1);
 }
 
-TEST_CASE_FIXTURE(TwoEndpointFixture,
+namespace {
+
+struct QueueFixture : TwoEndpointFixture {
+  QueueFixture() : TwoEndpointFixture(true) {}
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(QueueFixture,
                   "calls over the limit of their team are told successive "
                   "times, and a repeated call its old time") {
   Fleet::Team team;
--- a/tests/auto/gateway/twoendpointfixture.h
+++ b/tests/auto/gateway/twoendpointfixture.h
@@ -21,7 +21,8 @@
 
 /// A gateway with two endpoints of one service and a route of each kind.
 struct TwoEndpointFixture : GatewayFixture {
-  TwoEndpointFixture() {
+  explicit TwoEndpointFixture(bool queueOverLimit = false) {
+    Settings.QueueOverLimit = queueOverLimit;
     addRoute("/safe/", "s", Fleet::RouteKind::Safe);
     addRoute("/once/", "s", Fleet::RouteKind::Unsafe);
     addRoute("/stream/", "s", Fleet::RouteKind::Streaming);
