--- a/tests/auto/support/child.cpp
+++ b/tests/auto/support/child.cpp
@@ -16,19 +16,28 @@
 namespace {
 
 pid_t spawn(const std::vector<std::string> &command,
-            const std::string &outputFile) {
+            const std::string &outputFile,
+            const std::vector<std::string> &variables) {
   std::vector<char *> argv;
   argv.reserve(command.size() + 1);
   for (const std::string &arg : command)
     argv.push_back(const_cast<char *>(arg.c_str()));
   argv.push_back(nullptr);
+  // The first of several values of a variable counts.
+  std::vector<char *> environment;
+  for (const std::string &it : variables)
+    environment.push_back(const_cast<char *>(it.c_str()));
+  for (char **it = environ; *it; ++it)
+    environment.push_back(*it);
+  environment.push_back(nullptr);
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
   posix_spawn_file_actions_addopen(&actions, 1, outputFile.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0600);
   posix_spawn_file_actions_adddup2(&actions, 1, 2);
   pid_t pid = 0;
-  int rc = posix_spawn(&pid, argv[0], &actions, nullptr, argv.data(), environ);
+  int rc = posix_spawn(&pid, argv[0], &actions, nullptr, argv.data(),
+                       environment.data());
   posix_spawn_file_actions_destroy(&actions);
   return rc == 0 ? pid : 0;
 }
@@ -36,8 +45,9 @@
 } // namespace
 
 Child::Child(const std::vector<std::string> &command,
-             const std::string &outputFile)
-    : Pid(spawn(command, outputFile)) {}
+             const std::string &outputFile,
+             const std::vector<std::string> &variables)
+    : Pid(spawn(command, outputFile, variables)) {}
 
 Child::Child(Child &&other) noexcept : Pid(std::exchange(other.Pid, 0)) {}
 
--- a/tests/auto/support/child.h
+++ b/tests/auto/support/child.h
@@ -11,8 +11,10 @@
 class Child {
 public:
   Child() = default;
-  /// Starts the program and appends its stdout and stderr to the file.
-  Child(const std::vector<std::string> &command, const std::string &outputFile);
+  /// Starts the program and appends its stdout and stderr to the file. Its
+  /// environment is that of the test with these NAME=VALUE variables added.
+  Child(const std::vector<std::string> &command, const std::string &outputFile,
+        const std::vector<std::string> &variables = {});
   Child(Child &&other) noexcept;
   Child &operator=(Child &&other) noexcept;
   ~Child();
