--- a/src/libs/gateway/process.cpp
+++ b/src/libs/gateway/process.cpp
@@ -163,6 +163,9 @@
     applyLimits();
     State.Coordination.onConfiguration();
   };
+  State.FleetView.OnConfigurationRejected = [this] {
+    State.MetricsRegistry.add("hickory_gateway_configurations_rejected_total");
+  };
   State.FleetView.OnEvacuations = [this] {
     watchEvacuations();
     State.Coordination.onEvacuations();
@@ -388,6 +391,9 @@
   registry.set("hickory_gateway_cold_endpoints",
                double(State.Coordination.member().coldCount(now)));
   registry.set("hickory_gateway_holds_duty", State.Coordination.isHolder());
+  const auto &configuration = State.FleetView.configuration();
+  registry.set("hickory_gateway_configuration_version",
+               configuration ? double(configuration->Version) : 0);
   registry.set(
       "hickory_gateway_configuration_age_seconds",
       std::chrono::duration<double>(now - ConfigurationFeed.completeUntil())
--- a/src/libs/gateway/store.h
+++ b/src/libs/gateway/store.h
@@ -80,6 +80,10 @@
 
   std::function<Utils::Outcome<Fleet::ConfigurationRef>(const std::string &)>
       DecodeConfiguration;
+  /// Version of a configuration that cannot be decoded, if that is readable.
+  std::function<std::optional<uint64_t>(const std::string &)>
+      DecodeConfigurationVersion =
+          [](const std::string &) { return std::optional<uint64_t>(); };
   std::function<Utils::Outcome<Fleet::EndpointReport>(const std::string &id,
                                                       const std::string &)>
       DecodeEndpoint;
--- a/src/libs/gateway/view.cpp
+++ b/src/libs/gateway/view.cpp
@@ -93,10 +93,7 @@
 void View::applyConfiguration(const std::string &text) {
   auto decoded = Source.DecodeConfiguration(text);
   if (!decoded) {
-    Utils::Event("configuration_unreadable")
-        .with("error", decoded.error().What)
-        .error();
-    return;
+    return rejectConfiguration(text, decoded.error());
   }
   if (Current && (*decoded)->Version <= Current->Version)
     return;
@@ -111,6 +108,20 @@
     OnConfiguration();
 }
 
+void View::rejectConfiguration(const std::string &text,
+                               const Utils::Failure &failure) {
+  auto version = Source.DecodeConfigurationVersion(text);
+  Utils::Event event("configuration_unreadable");
+  event.with("error", failure.What)
+      .with("bytes", text.size())
+      .with("version_in_force", Current ? Current->Version : 0);
+  if (version)
+    event.with("version", *version);
+  event.error();
+  if (OnConfigurationRejected)
+    OnConfigurationRejected();
+}
+
 void View::applyEndpoints(const std::vector<TopicRecord> &records,
                           bool isSnapshot, Utils::TimePoint now) {
   if (isSnapshot) {
--- a/src/libs/gateway/view.h
+++ b/src/libs/gateway/view.h
@@ -47,6 +47,8 @@
 
   /// Called after a new configuration has come into force.
   std::function<void()> OnConfiguration;
+  /// Called after a record of a configuration could not be decoded.
+  std::function<void()> OnConfigurationRejected;
   /// Called after the endpoint with that id has changed or was removed.
   std::function<void(const std::string &)> OnEndpoint;
   /// Called after an evacuation was requested or withdrawn.
@@ -54,6 +56,8 @@
 
 private:
   void applyConfiguration(const std::string &text);
+  void rejectConfiguration(const std::string &text,
+                           const Utils::Failure &failure);
   /// Return whether the evacuations have changed.
   bool applyEvacuation(const std::string &domain, const TopicRecord &record,
                        std::optional<Utils::TimePoint> absentAt,
--- a/tests/auto/gatewayprocesses/tst_gatewayprocesses.cpp
+++ b/tests/auto/gatewayprocesses/tst_gatewayprocesses.cpp
@@ -1,5 +1,7 @@
 #include "gatewayprocesses/gatewayfleet.h"
 
+#include "support/cluster.h"
+
 #include <doctest/doctest.h>
 
 using namespace Support;
@@ -16,6 +18,38 @@
   CHECK(fleet.awaitStatus(401, {"/added/x", "desk.example", "unknown"}));
 }
 
+// Guards against a rejected version that only the log of the gateway tells of.
+TEST_CASE("gateway, a record cannot be decoded, metrics count it and name the "
+          "version in force") {
+  GatewayFleet fleet(1);
+  REQUIRE(fleet.awaitReady());
+  auto metrics = [&](const std::string &line) {
+    return ("\n" + fleet.metricsOf(0)).find("\n" + line + "\n") !=
+           std::string::npos;
+  };
+  CHECK(metrics("hickory_gateway_configuration_version 1"));
+  fleet.configureText(R"({"version":2,"routes":7,"services":[]})");
+  CHECK(eventually([&] {
+    return metrics("hickory_gateway_configurations_rejected_total 1");
+  }));
+  CHECK(metrics("hickory_gateway_configuration_version 1"));
+  std::string log = fleet.logOf(0);
+  size_t at = log.find("configuration_unreadable");
+  REQUIRE(at != std::string::npos);
+  std::string line = log.substr(at, log.find('\n', at) - at);
+  CHECK(line.find(" version=2") != std::string::npos);
+  CHECK(line.find(" version_in_force=1") != std::string::npos);
+  // A call that is answered 404 says by which version.
+  CHECK(fleet.awaitStatus(404, {"/added/x"}));
+  CHECK(eventually([&] {
+    std::string text = fleet.logOf(0);
+    size_t call = text.find("outcome=no_route");
+    return call != std::string::npos &&
+           text.substr(call, text.find('\n', call) - call).find(" version=1") !=
+               std::string::npos;
+  }));
+}
+
 // Guards against a stand-in that the tests of a restored store rely on and that
 // keeps records after the point.
 TEST_CASE("stand-in of the store, a copy is restored, later records are gone") {
