Count a null member of the platform's JSON as missing

Null in target_latency_ms, target_gap_ms, disk_load_s, warm_s, limits and members of limits did so, and in the same way in entries and reports of endpoints (available, incoming, models, adapters) and in the bounds of the settings.

--- a/src/libs/utils/decodejson.h
+++ b/src/libs/utils/decodejson.h
@@ -31,6 +31,23 @@
       &it);
 }
 
+/// The optional member of the object, or null if it is missing. A member that
+/// is JSON null counts as missing.
+inline const nlohmann::json *findMember(const nlohmann::json &object,
+                                        const char *name) {
+  auto it = object.find(name);
+  return it == object.end() || it->is_null() ? nullptr : &*it;
+}
+
+/// Value of the optional member of the object, or `defaultValue` if it is
+/// missing or null. Throws an exception of the JSON library if it has another
+/// type.
+template <typename T>
+T memberOr(const nlohmann::json &object, const char *name, T defaultValue) {
+  const nlohmann::json *it = findMember(object, name);
+  return it ? it->get<T>() : defaultValue;
+}
+
 /// Decodes the JSON body of a service's response with `decode(body)`. Fails
 /// with Errc::Corrupt when a member is missing or has another type; `what`
 /// begins the message. Not included by utils.h, since few users need the JSON
--- a/tests/auto/sitewire/tst_sitewire.cpp
+++ b/tests/auto/sitewire/tst_sitewire.cpp
@@ -240,6 +240,54 @@
   CHECK_FALSE(decodeConfiguration(text.dump(), true));
 }
 
+// Issue 50: a version with null in an optional member was rejected.
+TEST_CASE("optional member of the configuration that is null counts as "
+          "missing") {
+  json text = configuration();
+  for (json::json_pointer member :
+       {"/routes/0/target_latency_ms"_json_pointer,
+        "/routes/0/target_gap_ms"_json_pointer,
+        "/services/0/engine/models/0/disk_load_s"_json_pointer,
+        "/services/0/engine/models/0/warm_s"_json_pointer,
+        "/limits/max_header_bytes"_json_pointer,
+        "/limits/header_timeout_ms"_json_pointer,
+        "/tenants/0/unit"_json_pointer}) {
+    CAPTURE(member.to_string());
+    text.at(member) = nullptr;
+    CHECK(decodeConfiguration(text.dump()));
+  }
+  auto config = decodeConfiguration(text.dump());
+  REQUIRE(config);
+  const Fleet::Configuration &it = **config;
+  CHECK(it.Routes[0].LatencyObjective == 0ms);
+  CHECK(it.Routes[0].GapObjective == 0ms);
+  CHECK(it.Services[0].ModelEngine->Models[0].MemoryLoadTime == 6s);
+  CHECK(it.Limits.HeaderBytes == Fleet::ClientLimits().HeaderBytes);
+  CHECK(it.Limits.HeaderTimeout == Fleet::ClientLimits().HeaderTimeout);
+  CHECK_FALSE(it.Teams[0].CountsTokens);
+  text["limits"] = nullptr;
+  CHECK(decodeConfiguration(text.dump()));
+  // A required member that is null is missing too.
+  text["version"] = nullptr;
+  CHECK_FALSE(decodeConfiguration(text.dump()));
+}
+
+TEST_CASE("optional member of an endpoint's entry or report that is null "
+          "counts as missing") {
+  json text = entry();
+  text["available"] = nullptr;
+  text["born"] = nullptr;
+  text["models"][0]["adapters"] = nullptr;
+  auto report = decodeEndpointEntry("i-1", text.dump());
+  REQUIRE(report);
+  CHECK(report->Models[0].Adapters.empty());
+  text["models"] = nullptr;
+  CHECK(decodeEndpointEntry("i-1", text.dump()));
+  CHECK(decodeEngineReport(R"({"models":[{"name":"m","version":1,
+      "adapters":null}],"busy":false,"sequence":2,"incoming":null,
+      "available":{"in_memory":null,"on_disk":["m"]}})"));
+}
+
 TEST_CASE("configuration without a required member is an error that names it") {
   json text = configuration();
   text["routes"][0].erase("host");
@@ -421,6 +469,14 @@
   CHECK_FALSE(hasSeveralRegions(*settings));
   text["zones"]["y"] = "q";
   CHECK(hasSeveralRegions(*decodeSettings(text.dump())));
+  for (const char *it : {"cold_overshoot", "cold_slack", "evacuation_ms",
+                         "configuration_apply_ms", "require_fencing"})
+    text["bounds"][it] = nullptr;
+  text["zones"] = nullptr;
+  settings = decodeSettings(text.dump());
+  REQUIRE(settings);
+  CHECK(settings->ColdOvershoot == 1.5);
+  CHECK_FALSE(settings->EvacuationBound);
   text["bounds"].erase("revoke_ms");
   settings = decodeSettings(text.dump());
   REQUIRE_FALSE(settings);
