Keep the rest of a configuration when one entry cannot be decoded

A route, service, team or the limits that cannot be decoded are now left out of their version and listed as unreadable. Calls that may belong to such a route or service are refused with 503 and a Retry-After, as not run; so are unknown keys while a team cannot be decoded, whose keys then do not work. If the record is unreadable as a whole, the gateway keeps what it has, and refuses what that lacks with 503 rather than 404 or 401 until a readable version arrives. One event for each unreadable entry (at most 20 a version) and two gauges show it.

The check of 404 in gatewayprocesses moves before the unreadable record, after which 503 is due.

--- a/src/libs/explain/explain.cpp
+++ b/src/libs/explain/explain.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 /// Events that change a daemon's state or the dependencies that it can reach.
-constexpr std::array<std::string_view, 27> BackgroundEvents = {
+constexpr std::array<std::string_view, 28> BackgroundEvents = {
     "started",
     "stopping",
     "leaving_balancer",
@@ -33,6 +33,7 @@
     "endpoint_change",
     "configuration_applied",
     "configuration_unreadable",
+    "configuration_entry_unreadable",
     "duty_taken",
     "duty_lost",
     "duty_handed_over",
--- a/src/libs/explain/gatewaycauses.cpp
+++ b/src/libs/explain/gatewaycauses.cpp
@@ -171,6 +171,16 @@
     "the current configuration does not contain its key";
 constexpr char NoConfiguration[] =
     "the gateway had not read a configuration yet";
+constexpr char ConfigurationUnreadable[] =
+    "the gateway could not decode a newer configuration, which may have its "
+    "route or key";
+constexpr char RouteUnreadable[] =
+    "it may belong to a route of the configuration that the gateway could not "
+    "decode";
+constexpr char ServiceUnreadable[] =
+    "the gateway could not decode the service of its route";
+constexpr char TeamUnreadable[] =
+    "its key may be one of a team that the gateway could not decode";
 constexpr char NoEndpoint[] = "no endpoint of its service was ready";
 constexpr char DomainEvacuated[] =
     "all ready endpoints of its service were in evacuated failure domains";
@@ -197,6 +207,10 @@
     {"no_route", fixedCause<NoRoute>},
     {"malformed", fixedCause<Malformed>},
     {"no_configuration", fixedCause<NoConfiguration>},
+    {"configuration_unreadable", fixedCause<ConfigurationUnreadable>},
+    {"route_unreadable", fixedCause<RouteUnreadable>},
+    {"service_unreadable", fixedCause<ServiceUnreadable>},
+    {"team_unreadable", fixedCause<TeamUnreadable>},
     {"no_endpoint", fixedCause<NoEndpoint>},
     {"domain_evacuated", fixedCause<DomainEvacuated>},
     {"part_quarantined", fixedCause<PartQuarantined>},
--- a/src/libs/fleet/configuration.cpp
+++ b/src/libs/fleet/configuration.cpp
@@ -9,6 +9,12 @@
   return names[static_cast<size_t>(kind)];
 }
 
+std::string_view entryKindName(EntryKind kind) {
+  static constexpr std::string_view names[] = {"route", "service", "team",
+                                               "limits"};
+  return names[static_cast<size_t>(kind)];
+}
+
 void Engine::index() {
   IndexByName.clear();
   for (uint32_t i = 0; i < Models.size(); ++i)
@@ -65,4 +71,28 @@
   return it == Services.end() ? nullptr : &*it;
 }
 
+bool Configuration::hasUnreadable(EntryKind kind) const {
+  return std::any_of(
+      Unreadable.begin(), Unreadable.end(),
+      [&](const UnreadableEntry &it) { return it.Kind == kind; });
+}
+
+bool Configuration::mayBelongToUnreadable(std::string_view host,
+                                          std::string_view path,
+                                          const Route *match) const {
+  auto mayTake = [&](const UnreadableEntry &it) {
+    if (it.Kind != EntryKind::Route || (it.Host && *it.Host != host) ||
+        (it.Prefix && path.compare(0, it.Prefix->size(), *it.Prefix) != 0))
+      return false;
+    if (!match)
+      return true;
+    return it.Host && it.Prefix && it.Prefix->size() > match->Prefix.size();
+  };
+  return std::any_of(Unreadable.begin(), Unreadable.end(), mayTake);
+}
+
+bool Configuration::isServiceUnreadable(std::string_view name) const {
+  return hasUnreadable(EntryKind::Service) && !findService(name);
+}
+
 } // namespace Fleet
--- a/src/libs/fleet/configuration.h
+++ b/src/libs/fleet/configuration.h
@@ -123,6 +123,24 @@
   Milliseconds IdleTimeout{15000};
 };
 
+/// Parts of a configuration that are decoded on their own.
+enum class EntryKind : uint8_t { Route, Service, Team, Limits };
+
+/// Name of the kind in logs.
+std::string_view entryKindName(EntryKind kind);
+
+/// A part of the configuration that this build cannot decode. The rest of its
+/// version comes into force without it.
+struct UnreadableEntry {
+  EntryKind Kind = EntryKind::Route;
+  /// Empty if it cannot be decoded.
+  std::string Name;
+  std::string Error;
+  /// Host and path prefix of a route; nothing if they cannot be decoded.
+  std::optional<std::string> Host;
+  std::optional<std::string> Prefix;
+};
+
 /// A version of the operators' configuration. Must not change after index().
 struct Configuration {
   uint64_t Version = 0;
@@ -130,6 +148,7 @@
   std::vector<Service> Services;
   std::vector<Team> Teams;
   ClientLimits Limits;
+  std::vector<UnreadableEntry> Unreadable;
 
   /// Builds the indexes that the queries below use.
   void index();
@@ -142,7 +161,17 @@
   const Team *findTeamByName(std::string_view name) const;
   const Service *findService(std::string_view name) const;
   /// Whether requests to non-public routes need an access key.
-  bool requiresKeys() const { return !Teams.empty(); }
+  bool requiresKeys() const {
+    return !Teams.empty() || hasUnreadable(EntryKind::Team);
+  }
+  bool hasUnreadable(EntryKind kind) const;
+  /// Whether a request that findRoute() gives to `match`, or to no route, may
+  /// belong to a route that cannot be decoded: to one with a longer prefix, or,
+  /// without a match, to one whose host or prefix is unknown.
+  bool mayBelongToUnreadable(std::string_view host, std::string_view path,
+                             const Route *match) const;
+  /// Whether the service is not known and may be one that cannot be decoded.
+  bool isServiceUnreadable(std::string_view name) const;
 
 private:
   /// Indexes of the routes of each host, longest prefix first.
--- a/src/libs/gateway/call.cpp
+++ b/src/libs/gateway/call.cpp
@@ -87,21 +87,47 @@
     refuse(Unavailable, "no_configuration", DefaultRetryAfter);
     return false;
   }
-  const std::string *host = Request.Headers.find("Host");
-  Route =
-      Configuration->findRoute(host ? *host : "", Http::pathOf(Request.Target));
-  if (!Route) {
-    refuse(NotFound, "no_route");
+  if (!findRoute())
     return false;
-  }
   Deadline = ArrivedAt + Route->Timeout;
   if (Metadata.Timeout)
     Deadline = std::min(Deadline, ArrivedAt + *Metadata.Timeout);
   Deadline = std::min(Deadline, State.EndCallsAt);
   Service = pickService(*Route, State.Random);
+  if (Configuration->isServiceUnreadable(Service)) {
+    refuse(Unavailable, "service_unreadable", DefaultRetryAfter);
+    return false;
+  }
   return true;
 }
 
+/// Finds the route of the call. Refuses it as not run, rather than as unknown,
+/// if the route may be one that this build cannot decode.
+bool Call::findRoute() {
+  const std::string *field = Request.Headers.find("Host");
+  std::string_view host = field ? std::string_view(*field) : "";
+  std::string_view path = Http::pathOf(Request.Target);
+  const Fleet::Route *match = Configuration->findRoute(host, path);
+  if (Configuration->mayBelongToUnreadable(host, path, match)) {
+    refuse(Unavailable, "route_unreadable", DefaultRetryAfter);
+    return false;
+  }
+  if (!match) {
+    refuseUnknown(NotFound, "no_route");
+    return false;
+  }
+  Route = match;
+  return true;
+}
+
+/// Refuses a call with what the configuration does not have, as not run if a
+/// newer one that cannot be decoded may have it.
+void Call::refuseUnknown(unsigned status, std::string_view reason) {
+  if (State.FleetView.isBehind())
+    return refuse(Unavailable, "configuration_unreadable", DefaultRetryAfter);
+  refuse(status, reason);
+}
+
 bool Call::authenticate() {
   if (Route->Public || !Configuration->requiresKeys())
     return true;
@@ -110,11 +136,14 @@
     return false;
   }
   Team = Configuration->findTeamByKey(Metadata.Key);
-  if (!Team) {
-    refuse(Unauthorized, "unknown_key");
-    return false;
-  }
-  return true;
+  if (Team)
+    return true;
+  // The key may be one of a team that cannot be decoded.
+  if (Configuration->hasUnreadable(Fleet::EntryKind::Team))
+    refuse(Unavailable, "team_unreadable", DefaultRetryAfter);
+  else
+    refuseUnknown(Unauthorized, "unknown_key");
+  return false;
 }
 
 Balance::Candidate Call::candidateFor(const Fleet::Endpoint &endpoint) const {
--- a/src/libs/gateway/call.h
+++ b/src/libs/gateway/call.h
@@ -46,6 +46,8 @@
   void proceed();
   double tokenCost() const;
   bool resolveRoute();
+  bool findRoute();
+  void refuseUnknown(unsigned status, std::string_view reason);
   void dispatch();
   bool tryDispatch();
   void wait();
--- a/src/libs/gateway/process.cpp
+++ b/src/libs/gateway/process.cpp
@@ -394,6 +394,10 @@
   const auto &configuration = State.FleetView.configuration();
   registry.set("hickory_gateway_configuration_version",
                configuration ? double(configuration->Version) : 0);
+  registry.set("hickory_gateway_configuration_entries_unreadable",
+               configuration ? double(configuration->Unreadable.size()) : 0);
+  registry.set("hickory_gateway_configuration_behind",
+               State.FleetView.isBehind());
   registry.set(
       "hickory_gateway_configuration_age_seconds",
       std::chrono::duration<double>(now - ConfigurationFeed.completeUntil())
--- a/src/libs/gateway/view.cpp
+++ b/src/libs/gateway/view.cpp
@@ -2,6 +2,8 @@
 
 #include "utils/utils.h"
 
+#include <algorithm>
+
 namespace Gateway {
 
 namespace {
@@ -25,6 +27,23 @@
   }
 }
 
+/// Entries of one version that are logged, of a configuration that may have
+/// thousands.
+constexpr size_t MaxLoggedEntries = 20;
+
+void logUnreadableEntries(const Fleet::Configuration &configuration) {
+  size_t logged = std::min(configuration.Unreadable.size(), MaxLoggedEntries);
+  for (size_t i = 0; i < logged; ++i) {
+    const Fleet::UnreadableEntry &it = configuration.Unreadable[i];
+    Utils::Event("configuration_entry_unreadable")
+        .with("kind", Fleet::entryKindName(it.Kind))
+        .with("name", it.Name)
+        .with("error", it.Error)
+        .with("version", configuration.Version)
+        .error();
+  }
+}
+
 } // namespace
 
 View::View(const Store &store,
@@ -95,7 +114,11 @@
   if (!decoded) {
     return rejectConfiguration(text, decoded.error());
   }
-  if (Current && (*decoded)->Version <= Current->Version)
+  uint64_t version = (*decoded)->Version;
+  if (Current && version < Current->Version)
+    return;
+  Behind = false;
+  if (Current && version == Current->Version)
     return;
   logLimitChanges(**decoded, Current.get());
   Current = *decoded;
@@ -103,7 +126,9 @@
       .with("version", Current->Version)
       .with("routes", Current->Routes.size())
       .with("teams", Current->Teams.size())
+      .with("unreadable", Current->Unreadable.size())
       .info();
+  logUnreadableEntries(*Current);
   if (OnConfiguration)
     OnConfiguration();
 }
@@ -111,6 +136,7 @@
 void View::rejectConfiguration(const std::string &text,
                                const Utils::Failure &failure) {
   auto version = Source.DecodeConfigurationVersion(text);
+  Behind = Behind || !version || !Current || *version > Current->Version;
   Utils::Event event("configuration_unreadable");
   event.with("error", failure.What)
       .with("bytes", text.size())
--- a/src/libs/gateway/view.h
+++ b/src/libs/gateway/view.h
@@ -42,6 +42,9 @@
 
   /// Null before the first configuration.
   const Fleet::ConfigurationRef &configuration() const { return Current; }
+  /// Whether the operators have written a newer configuration that could not be
+  /// decoded: what the one in force does not have may exist.
+  bool isBehind() const { return Behind; }
   const Fleet::EndpointTable &endpoints() const { return Endpoints; }
   const Fleet::Evacuations &evacuations() const { return Evacuations; }
 
@@ -67,6 +70,7 @@
 
   const Store &Source;
   Fleet::ConfigurationRef Current;
+  bool Behind = false;
   Fleet::EndpointTable Endpoints;
   Fleet::Evacuations Evacuations;
 };
--- a/tests/auto/gatewayprocesses/tst_gatewayprocesses.cpp
+++ b/tests/auto/gatewayprocesses/tst_gatewayprocesses.cpp
@@ -28,6 +28,15 @@
            std::string::npos;
   };
   CHECK(metrics("hickory_gateway_configuration_version 1"));
+  // A call that is answered 404 says by which version.
+  CHECK(fleet.awaitStatus(404, {"/added/x"}));
+  CHECK(eventually([&] {
+    std::string text = fleet.logOf(0);
+    size_t call = text.find("outcome=no_route");
+    return call != std::string::npos &&
+           text.substr(call, text.find('\n', call) - call).find(" version=1") !=
+               std::string::npos;
+  }));
   fleet.configureText(R"({"version":2,"routes":7,"services":[]})");
   CHECK(eventually([&] {
     return metrics("hickory_gateway_configurations_rejected_total 1");
@@ -39,15 +48,6 @@
   std::string line = log.substr(at, log.find('\n', at) - at);
   CHECK(line.find(" version=2") != std::string::npos);
   CHECK(line.find(" version_in_force=1") != std::string::npos);
-  // A call that is answered 404 says by which version.
-  CHECK(fleet.awaitStatus(404, {"/added/x"}));
-  CHECK(eventually([&] {
-    std::string text = fleet.logOf(0);
-    size_t call = text.find("outcome=no_route");
-    return call != std::string::npos &&
-           text.substr(call, text.find('\n', call) - call).find(" version=1") !=
-               std::string::npos;
-  }));
 }
 
 // Guards against a stand-in that the tests of a restored store rely on and that
