Log when the store comes back in another era

When it rises, the gateway logs store_era_changed with both eras and its offsets, counts it, and names the era in its metrics. An answer without the field changes nothing.

--- a/src/libs/gateway/fleetagent.h
+++ b/src/libs/gateway/fleetagent.h
@@ -72,6 +72,8 @@
   void leave();
 
   FleetMember &member() { return Self; }
+  /// Offset up to which the topic of the duty is known.
+  uint64_t dutyEnd() const { return Duty.lease().End; }
   bool isHolder() const { return Holder != nullptr; }
   /// Number of gateways by the holder's latest heartbeat; 0 before the first.
   uint32_t members() const { return Self.members(); }
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -108,6 +108,8 @@
   void removeUnlisted(Utils::TimePoint asOf);
   void applyOperators(const std::vector<TopicRecord> &records, bool isSnapshot);
   void applyRelayed(const RelayedRecords &relayed);
+  /// The store, or a gateway, has named this era of the store.
+  void noteStoreEra(const StoreEra::Era &era);
   void applyLimits();
   /// Logs the evacuations in force, now and when more of them are.
   void watchEvacuations();
@@ -126,6 +128,8 @@
   HttpIo::Listener MetricsListener;
   TopicFeed ConfigurationFeed;
   TopicFeed EndpointFeed;
+  /// The highest era of the store that is known.
+  StoreEra::Era NewestEra;
   asio::signal_set Signals;
   HttpIo::Timer HousekeepingTimer;
   HttpIo::Timer ShutdownTimer;
--- a/src/libs/gateway/process.cpp
+++ b/src/libs/gateway/process.cpp
@@ -159,6 +159,9 @@
                                           const auto &notice) {
     State.applyNotice(endpoint, notice);
   };
+  *State.Clients.PlatformStore.Eras = [this](const StoreEra::Era &era) {
+    noteStoreEra(era);
+  };
   State.FleetView.OnConfiguration = [this] {
     applyLimits();
     State.Coordination.onConfiguration();
@@ -319,6 +322,22 @@
   EndpointFeed.noteHolderSnapshot(asOf, reportedAt);
 }
 
+void Process::noteStoreEra(const StoreEra::Era &era) {
+  if (era <= NewestEra)
+    return;
+  StoreEra::Era before = std::exchange(NewestEra, era);
+  if (!before.isKnown())
+    return;
+  Utils::Event("store_era_changed")
+      .with("era_before", StoreEra::textOf(before))
+      .with("era", StoreEra::textOf(era))
+      .with("configuration_next", ConfigurationFeed.next())
+      .with("endpoints_next", EndpointFeed.next())
+      .with("duty_end", State.Coordination.dutyEnd())
+      .warning();
+  State.MetricsRegistry.add("hickory_gateway_store_era_changes_total", "");
+}
+
 void Process::applyOperators(const std::vector<TopicRecord> &records,
                              bool isSnapshot) {
   State.Coordination.noteOperatorsRecords(records, isSnapshot);
@@ -395,6 +414,8 @@
   registry.set("hickory_gateway_endpoints_age_seconds",
                std::chrono::duration<double>(now - EndpointFeed.completeUntil())
                    .count());
+  if (NewestEra.isKnown())
+    registry.set("hickory_gateway_store_era", double(*NewestEra.Number));
   registry.set("hickory_gateway_endpoints",
                double(State.FleetView.endpoints().all().size()));
   registry.set("hickory_gateway_evacuated_domains",
--- a/src/libs/gateway/store.h
+++ b/src/libs/gateway/store.h
@@ -2,10 +2,12 @@
 #define GATEWAY_STORE_H
 
 #include "fleet/fleet.h"
+#include "storeera/storeera.h"
 #include "utils/outcome.h"
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -60,6 +62,12 @@
   using PageDone = std::function<void(Utils::Outcome<TopicPage>)>;
   using DutyDone = std::function<void(Utils::Outcome<DutyRead>)>;
   using AppendDone = std::function<void(Utils::Outcome<uint64_t>)>;
+  using EraSink = std::function<void(StoreEra::Era)>;
+
+  /// Receives the era that an answer names, also one that reports a failure,
+  /// before the callback of the call.
+  std::shared_ptr<EraSink> Eras =
+      std::make_shared<EraSink>([](StoreEra::Era) {});
 
   /// Reads a page of the newest records of the keys after `after`; the first
   /// page if that is empty.
--- a/tests/auto/storeera/tst_storeera.cpp
+++ b/tests/auto/storeera/tst_storeera.cpp
@@ -102,6 +102,18 @@
   awaitStatus(holder(), "/added/", 200);
 }
 
+// Without it no log line tells a lost record from a topic without news.
+TEST_CASE_FIXTURE(DrillFixture,
+                  "store that comes back older, its era is in the metrics, "
+                  "also while it rejects all reads") {
+  EraGateway &gateway = startReady("a");
+  awaitMetric(gateway, "hickory_gateway_store_era", 1);
+  gateway.Door->Rejected = {Operators, Servers, "keyed.duty"};
+  Store.comeBackFrom(Copy);
+  awaitMetric(gateway, "hickory_gateway_store_era", 2);
+  CHECK(metric(gateway, "hickory_gateway_store_era_changes_total") == 1);
+}
+
 // Entries at offsets that were given out again were never read.
 TEST_CASE_FIXTURE(DrillFixture,
                   "store that comes back older, endpoint that registers and "
