Read the store anew when its era rises

Cause: a feed went on from its offset after the store had come back from an older copy, and never read the records that took the offsets given out again; between gateways, offsets of two eras were compared.

Change: an offset travels with its era (StoreEra::Position; Report, Heartbeat, RecordState). Heartbeats name the newest version in force and a gateway that has it: one that starts after the return gets it from there, and until then answers 503 and is not ready.

--- a/src/libs/fleetlink/fleetlink.cpp
+++ b/src/libs/fleetlink/fleetlink.cpp
@@ -2,6 +2,7 @@
 
 #include "codec/codec.h"
 #include "duty/serialize.h"
+#include "storeera/serialize.h"
 #include "utils/digest.h"
 
 #include <type_traits>
@@ -59,7 +60,7 @@
           it.HeartbeatAgeMs, it.Leaving, it.Teams, it.Levels, it.Waiting,
           it.Calls, it.Loads, it.ModelMisses, it.LeavingEndpoints,
           it.UnconfirmedEndpoints, it.Crashes, it.AnsweredParts, it.Quarantined,
-          it.EndpointLimits);
+          it.EndpointLimits, it.StoreEra, it.ConfigurationVersion);
 }
 template <class Archive> void serialize(Archive &archive, TeamGrant &it) {
   archive(it.Team, it.Level, it.Demand, it.Granted, it.Delays, it.QueueLength);
@@ -90,10 +91,11 @@
           it.Lineage, it.TableTakeoverRevision, it.TableTombstoneFloor,
           it.TableBaseRevision, it.TableRevision, it.TableComplete,
           it.TableBaseFromStore, it.EncodedEntries, it.Loads, it.Quarantined,
-          it.WatchedParts, it.LimitsRevision, it.EndpointLimits);
+          it.WatchedParts, it.LimitsRevision, it.EndpointLimits, it.StoreEra,
+          it.ConfigurationVersion, it.ConfigurationAddress);
 }
 template <class Archive> void serialize(Archive &archive, RecordState &it) {
-  archive(it.Next, it.Digest);
+  archive(it.Next, it.Digest, it.InEra);
 }
 template <class Archive> void serialize(Archive &archive, RecordRequest &it) {
   archive(it.Address, it.Incarnation, it.Transfer, it.State, it.Fragment);
--- a/src/libs/fleetlink/fleetlink.h
+++ b/src/libs/fleetlink/fleetlink.h
@@ -4,6 +4,7 @@
 /// Public header of the fleetlink library: the datagrams between the gateways
 /// and the holder of the fleet's duty. Each may be lost, delayed or duplicated.
 #include "duty/duty.h"
+#include "storeera/storeera.h"
 #include "utils/outcome.h"
 
 #include <cstdint>
@@ -162,9 +163,12 @@
   uint64_t Lineage = 0;
   uint64_t TableRevision = 0;
   bool TableComplete = false;
-  /// Offset up to which it has itself read the whole endpoints' topic; 0 if it
-  /// has not.
+  /// Highest era of the store that the gateway knows, and the offset in it up
+  /// to which it has itself read the whole endpoints' topic; 0 if it has not.
+  StoreEra::Era StoreEra;
   uint64_t EndpointsNext = 0;
+  /// Version of the configuration in force; 0 before the first.
+  uint64_t ConfigurationVersion = 0;
   /// Capacity of the VM for the holder's work, relative to other VMs.
   uint8_t Strength = 0;
   /// The gateway's newest call to the store has failed.
@@ -300,6 +304,12 @@
   uint64_t Incarnation = 0;
   uint64_t Sequence = 0;
   std::vector<TeamGrant> Teams;
+  /// Highest era of the store that the holder knows; the offsets are of it.
+  StoreEra::Era StoreEra;
+  /// Newest version of the configuration that is in force at any gateway, and
+  /// the address of one where it is.
+  uint64_t ConfigurationVersion = 0;
+  std::string ConfigurationAddress;
   /// Offset up to which the holder has read the operators' topic, and the time
   /// since that was the topic's end.
   uint64_t OperatorsNext = 0;
@@ -344,10 +354,13 @@
   /// Hash of the encoded records. Reads of a snapshot may differ at one offset,
   /// as its pages are not read at the same time.
   uint64_t Digest = 0;
+  /// Era of the store to which Next belongs.
+  StoreEra::Era InEra{};
   bool operator==(const RecordState &) const = default;
 };
 
-/// Request of a gateway to the holder for a fragment of the operators' records.
+/// Request of a gateway to another one for a fragment of the operators'
+/// records.
 struct RecordRequest {
   /// IP:PORT for the answer.
   std::string Address;
@@ -360,14 +373,14 @@
   uint32_t Fragment = 0;
 };
 
-/// Fragment of the holder's operators' records.
+/// Fragment of a gateway's operators' records.
 struct RecordFragment {
   /// As in the request.
   uint64_t Incarnation = 0;
   uint64_t Transfer = 0;
   RecordState State;
   /// Time since the records were complete by a read of the store, when the
-  /// holder answered.
+  /// answer was sent.
   uint32_t AgeMs = 0;
   uint32_t Fragment = 0;
   /// Number of fragments of this state.
--- a/src/libs/gateway/call.cpp
+++ b/src/libs/gateway/call.cpp
@@ -87,11 +87,19 @@
     refuse(Unavailable, "no_configuration", DefaultRetryAfter);
     return false;
   }
+  // The store may have come back with a version that is no longer in force.
+  if (!State.ConfigurationConfirmed && State.lacksConfiguration()) {
+    refuse(Unavailable, "configuration_outdated", DefaultRetryAfter);
+    return false;
+  }
   const std::string *host = Request.Headers.find("Host");
   Route =
       Configuration->findRoute(host ? *host : "", Http::pathOf(Request.Target));
   if (!Route) {
-    refuse(NotFound, "no_route");
+    if (State.mayLackConfiguration())
+      refuse(Unavailable, "configuration_outdated", DefaultRetryAfter);
+    else
+      refuse(NotFound, "no_route");
     return false;
   }
   Deadline = ArrivedAt + Route->Timeout;
@@ -111,7 +119,10 @@
   }
   Team = Configuration->findTeamByKey(Metadata.Key);
   if (!Team) {
-    refuse(Unauthorized, "unknown_key");
+    if (State.mayLackConfiguration())
+      refuse(Unavailable, "configuration_outdated", DefaultRetryAfter);
+    else
+      refuse(Unauthorized, "unknown_key");
     return false;
   }
   return true;
--- a/src/libs/gateway/fleetagent.cpp
+++ b/src/libs/gateway/fleetagent.cpp
@@ -80,6 +80,7 @@
   Duty.OnRead = [this] { onDutyRecordRead(); };
   Duty.OnStoreCall = [this](bool answered) { noteStoreCall(answered); };
   Link.OnReport = [this](const FleetLink::Report &report) {
+    Ctx.OnStoreEra(report.StoreEra);
     if (Holder)
       Holder->handleReport(report);
   };
@@ -146,7 +147,11 @@
   ReportTimes[out.Sequence] = now;
   if (ReportTimes.size() > MaxRememberedReports)
     ReportTimes.erase(ReportTimes.begin());
-  out.EndpointsNext = Ctx.ReadProgress().EndpointsNext;
+  StoreReadProgress read = Ctx.ReadProgress();
+  out.StoreEra = read.InEra;
+  out.EndpointsNext = read.EndpointsNext;
+  if (const auto &config = Ctx.FleetView.configuration())
+    out.ConfigurationVersion = config->Version;
   out.Waiting = Ctx.Waiting();
   out.Leaving = Leaving;
   out.Strength = Strength;
@@ -166,6 +171,8 @@
                       const FleetLink::Heartbeat &heartbeat) {
   FleetLink::Heartbeat out = heartbeat;
   out.Address = Address;
+  if (out.ConfigurationAddress.empty())
+    out.ConfigurationAddress = Address;
   out.Released = Duty.lease().Newest && Duty.lease().Newest->Released;
   out.Former = Duty.formerHolders();
   out.StoreCallFailed = Duty.lease().StoreUnreachable;
@@ -182,6 +189,7 @@
 }
 
 void FleetAgent::handleHeartbeat(const FleetLink::Heartbeat &heartbeat) {
+  Ctx.OnStoreEra(heartbeat.StoreEra);
   Utils::TimePoint now = Utils::BootClock::now();
   if (heartbeat.Token >= Self.token())
     LastHolderAddress = heartbeat.Address;
@@ -380,7 +388,7 @@
     Holder->onEndpoint(id);
 }
 
-void FleetAgent::onAllEndpointsRead(uint64_t next) {
+void FleetAgent::onAllEndpointsRead(const StoreEra::Position &next) {
   if (Holder)
     Holder->onAllEndpointsRead(next);
 }
@@ -405,17 +413,17 @@
 
 void FleetAgent::handleRecordRequest(const FleetLink::RecordRequest &request) {
   StoreReadProgress read = Ctx.ReadProgress();
-  if (!Holder || read.OperatorsAsOf == Utils::TimePoint{})
+  if (read.OperatorsAsOf == Utils::TimePoint{})
     return;
-  auto fragment = OperatorsRecords.answer(
-      request, read.OperatorsNext, read.OperatorsAsOf, Utils::BootClock::now());
+  auto fragment =
+      OperatorsRecords.answer(request, {read.InEra, read.OperatorsNext},
+                              read.OperatorsAsOf, Utils::BootClock::now());
   if (fragment)
     Link.send(request.Address, FleetLink::encode(*fragment));
 }
 
-void FleetAgent::relayRecords(bool lacking) {
-  if (!lacking || Holder)
-    return OperatorsTransfer.cancel();
+void FleetAgent::relayRecords(const std::string &address) {
+  RelayAddress = address;
   if (OperatorsTransfer.isActive())
     return;
   OperatorsTransfer.start(Utils::BootClock::now());
@@ -423,15 +431,18 @@
 }
 
 /// Sends the next request of the transfer, and repeats it while its answer does
-/// not come. Each goes to the holder of that moment.
+/// not come. Each goes to the gateway named last, or to the holder of that
+/// moment.
 void FleetAgent::sendRecordRequest() {
   if (!OperatorsTransfer.isActive())
     return;
   auto request = OperatorsTransfer.makeRequest(Utils::BootClock::now());
-  if (request && !LastHolderAddress.empty()) {
+  const std::string &to =
+      RelayAddress.empty() ? LastHolderAddress : RelayAddress;
+  if (request && !to.empty()) {
     request->Address = Address;
     request->Incarnation = Incarnation;
-    Link.send(LastHolderAddress, FleetLink::encode(*request));
+    Link.send(to, FleetLink::encode(*request));
   }
   TransferTimer.expires_at(OperatorsTransfer.nextRequestAt());
   TransferTimer.async_wait([this](const std::error_code &ec) {
--- a/src/libs/gateway/fleetagent.h
+++ b/src/libs/gateway/fleetagent.h
@@ -29,6 +29,8 @@
     /// The fleet is small enough for each gateway to read the store by itself.
     std::function<void()> OnSmallFleet;
     std::function<StoreReadProgress()> ReadProgress;
+    /// Another gateway has named this era of the store.
+    std::function<void(const StoreEra::Era &)> OnStoreEra;
     /// A heartbeat answered the report sent at `reportedAt`, from which the
     /// ages in it count; nothing if that report is no longer remembered.
     std::function<void(const FleetLink::Heartbeat &,
@@ -55,8 +57,8 @@
   /// An endpoint has crashed under calls of this gateway.
   void recordCrash(const Quarantine::Crash &crash);
   void onEndpoint(const std::string &id);
-  /// All endpoints' records before offset `next` have been read from the store.
-  void onAllEndpointsRead(uint64_t next);
+  /// All endpoints' records before `next` have been read from the store.
+  void onAllEndpointsRead(const StoreEra::Position &next);
   void onConfiguration();
   /// An evacuation was requested or withdrawn.
   void onEvacuations();
@@ -65,9 +67,11 @@
   /// Operators' records were read or relayed; see RecordSource::apply().
   void noteOperatorsRecords(const std::vector<TopicRecord> &records,
                             bool isSnapshot);
-  /// Requests the operators' records from the holder if `lacking`, and
-  /// otherwise ends a transfer of them.
-  void relayRecords(bool lacking);
+  /// Requests the operators' records from a gateway, the holder if `address` is
+  /// empty.
+  void relayRecords(const std::string &address);
+  /// Ends a transfer of the operators' records.
+  void endRelay() { OperatorsTransfer.cancel(); }
   /// Gives up the duty and reports that this gateway leaves the fleet.
   void leave();
 
@@ -78,7 +82,7 @@
   /// Number of gateways by the holder's latest heartbeat; 0 before the first.
   uint32_t members() const { return Self.members(); }
 
-  /// Called when the holder has relayed the operators' records.
+  /// Called when another gateway has relayed the operators' records.
   std::function<void(const RelayedRecords &)> OnRelayedRecords;
 
 private:
@@ -129,6 +133,8 @@
   uint64_t Incarnation;
   RecordSource OperatorsRecords;
   RecordTransfer OperatorsTransfer;
+  /// Gateway that is asked for the records; the holder if empty.
+  std::string RelayAddress;
   HttpIo::Timer TransferTimer;
 };
 
--- a/src/libs/gateway/fleetholder.cpp
+++ b/src/libs/gateway/fleetholder.cpp
@@ -126,8 +126,8 @@
   TableChanges.adoptRevisions(inherited.Table);
   for (const std::string &id : inherited.DifferingEndpoints)
     noteEndpointChange(id, true);
-  if (uint64_t next = Ctx.ReadProgress().EndpointsNext; next > 0)
-    onAllEndpointsRead(next);
+  if (auto read = Ctx.ReadProgress(); read.EndpointsNext > 0)
+    onAllEndpointsRead({read.InEra, read.EndpointsNext});
   bool isFirst = token == 1;
   if (!isFirst || !Ctx.Settings.FirstStart)
     EarliestPlanAt = StartedAt + DemandSettleTime;
@@ -431,6 +431,26 @@
   return bytes;
 }
 
+/// Names the newest version in force in the fleet and a gateway that has it:
+/// after the store has come back from an older copy, a gateway that starts can
+/// read that version nowhere else.
+void FleetHolder::addConfigurationVersion(FleetLink::Heartbeat &out) const {
+  Utils::TimePoint now = Utils::BootClock::now();
+  for (const auto &[name, member] : Members) {
+    const FleetLink::Report &report = member.LatestReport;
+    if (now < member.ReceivedAt + MemberTimeout &&
+        report.ConfigurationVersion > out.ConfigurationVersion) {
+      out.ConfigurationVersion = report.ConfigurationVersion;
+      out.ConfigurationAddress = report.Address;
+    }
+  }
+  const auto &config = Ctx.FleetView.configuration();
+  if (config && config->Version >= out.ConfigurationVersion) {
+    out.ConfigurationVersion = config->Version;
+    out.ConfigurationAddress.clear();
+  }
+}
+
 FleetLink::Heartbeat FleetHolder::makeHeartbeat(const Member &member) {
   Utils::TimePoint now = Utils::BootClock::now();
   const FleetLink::Report &report = member.LatestReport;
@@ -446,6 +466,8 @@
   out.MaxStrength = highestStrength();
   out.Teams = Limits.allGrants(report.Member, report.Teams, now);
   StoreReadProgress read = Ctx.ReadProgress();
+  out.StoreEra = read.InEra;
+  addConfigurationVersion(out);
   out.OperatorsNext = read.OperatorsNext;
   out.OperatorsAgeMs = ageInMs(read.OperatorsAsOf, now);
   out.EndpointsAgeMs = ageInMs(read.EndpointsAsOf, now);
--- a/src/libs/gateway/fleetholder.h
+++ b/src/libs/gateway/fleetholder.h
@@ -18,6 +18,8 @@
 
 /// How far this VM has read the topics of the platform's store.
 struct StoreReadProgress {
+  /// Era of the offsets.
+  StoreEra::Era InEra;
   uint64_t OperatorsNext = 0;
   Utils::TimePoint OperatorsAsOf{};
   Utils::TimePoint EndpointsAsOf{};
@@ -81,7 +83,7 @@
   /// The endpoint's record was added, changed or removed.
   void onEndpoint(const std::string &id);
   /// All endpoints' records before offset `next` have been read from the store.
-  void onAllEndpointsRead(uint64_t next);
+  void onAllEndpointsRead(const StoreEra::Position &next);
   void onConfiguration();
   /// An evacuation was requested or withdrawn.
   void onEvacuations();
@@ -118,6 +120,7 @@
   void broadcastSoon();
   Utils::Milliseconds fullBroadcastDelay() const;
   static bool isWaiting(const Member &member, Utils::TimePoint now);
+  void addConfigurationVersion(FleetLink::Heartbeat &out) const;
   FleetLink::Heartbeat makeHeartbeat(const Member &member);
   FleetLink::EndpointEntry makeEntry(const std::string &id) const;
   std::string encodedEntry(const std::string &id, uint64_t revision);
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -53,9 +53,23 @@
   std::function<void()> OnDutyTaken;
   std::function<void()> OnSmallFleet;
   std::function<StoreReadProgress()> ReadProgress;
+  std::function<void(const StoreEra::Era &)> OnStoreEra;
   std::function<void(const FleetLink::Heartbeat &,
                      std::optional<Utils::TimePoint> reportedAt)>
       OnHeartbeat;
+  /// Newest version of the configuration that is in force in the fleet, by the
+  /// holder's heartbeats.
+  uint64_t FleetConfigurationVersion = 0;
+  /// This gateway has had that version in force since it first reached the
+  /// store, or nobody has named one. Always true while the store's era is
+  /// unknown.
+  bool ConfigurationConfirmed = true;
+  /// Whether another gateway has a newer version in force.
+  bool lacksConfiguration() const;
+  /// Whether a route or a key that is unknown here may be known to the fleet.
+  bool mayLackConfiguration() const {
+    return !ConfigurationConfirmed || lacksConfiguration();
+  }
   /// Calls that have no final answer yet.
   std::map<const Call *, std::weak_ptr<Call>> ActiveCalls;
   /// Times of a planned stop, max() before one: calls that arrive later are
@@ -108,6 +122,8 @@
   void removeUnlisted(Utils::TimePoint asOf);
   void applyOperators(const std::vector<TopicRecord> &records, bool isSnapshot);
   void applyRelayed(const RelayedRecords &relayed);
+  void noteFleetConfiguration(const FleetLink::Heartbeat &heartbeat);
+  void awaitFleetConfiguration();
   /// The store, or a gateway, has named this era of the store.
   void noteStoreEra(const StoreEra::Era &era);
   void applyLimits();
@@ -128,6 +144,10 @@
   HttpIo::Listener MetricsListener;
   TopicFeed ConfigurationFeed;
   TopicFeed EndpointFeed;
+  /// Since when another gateway is known to have a newer configuration; none
+  /// while none has.
+  std::optional<Utils::TimePoint> ConfigurationLackedSince;
+  HttpIo::Timer FleetAnswerTimer;
   /// The highest era of the store that is known.
   StoreEra::Era NewestEra;
   asio::signal_set Signals;
--- a/src/libs/gateway/gatewayconstants.h
+++ b/src/libs/gateway/gatewayconstants.h
@@ -63,6 +63,18 @@
 constexpr milliseconds MinStoreBackoff{100};
 constexpr milliseconds MaxStoreBackoff{1000};
 
+/// Time after the store's return from an older copy in which endpoints write
+/// their entries again; one that is still missing then is gone.
+constexpr milliseconds EndpointReturnTime{2000};
+/// Time after the store's return from an older copy for which evacuations stay
+/// in force that it does not list. The operator writes again what the copy of
+/// some seconds before lacks; an evacuation ends at once when its record is
+/// deleted.
+constexpr milliseconds OperatorsReturnTime{30'000};
+/// Time after the first answer of the store in which the fleet names the newest
+/// version of the configuration: two report intervals.
+constexpr milliseconds FleetAnswerTime{1500};
+
 /// Subtracted from the bound on key revocation: time for a call to get from
 /// admission to the endpoint.
 constexpr milliseconds KeyExpiryMargin{500};
--- a/src/libs/gateway/holderengines.cpp
+++ b/src/libs/gateway/holderengines.cpp
@@ -228,7 +228,7 @@
   TableChanges.update(id, std::move(content), resend);
 }
 
-void FleetHolder::onAllEndpointsRead(uint64_t next) {
+void FleetHolder::onAllEndpointsRead(const StoreEra::Position &next) {
   std::vector<std::string> differing;
   for (const auto &[id, replica] : Replicas) {
     const Fleet::Endpoint *endpoint = Ctx.FleetView.endpoints().find(id);
--- a/src/libs/gateway/process.cpp
+++ b/src/libs/gateway/process.cpp
@@ -41,6 +41,7 @@
                     [this] { return PendingDispatch.summary(); },
                     [this] { OnDutyTaken(); }, [this] { OnSmallFleet(); },
                     [this] { return ReadProgress(); },
+                    [this](const auto &era) { OnStoreEra(era); },
                     [this](const auto &heartbeat, auto reportedAt) {
                       OnHeartbeat(heartbeat, reportedAt);
                     },
@@ -129,10 +130,10 @@
                                                     Utils::BootClock::now());
                      if (isSnapshot)
                        State.Coordination.onAllEndpointsRead(
-                           EndpointFeed.next());
+                           EndpointFeed.position());
                    }),
-      Signals(loop, SIGTERM, SIGINT), HousekeepingTimer(loop),
-      ShutdownTimer(loop), EvacuationTimer(loop) {
+      FleetAnswerTimer(loop), Signals(loop, SIGTERM, SIGINT),
+      HousekeepingTimer(loop), ShutdownTimer(loop), EvacuationTimer(loop) {
   auto noteStoreCall = [this](bool answered) {
     State.Coordination.noteStoreCall(answered);
   };
@@ -145,7 +146,7 @@
   State.OnSmallFleet = [this] { EndpointFeed.resume(); };
   State.ReadProgress = [this] {
     return StoreReadProgress{
-        ConfigurationFeed.next(), ConfigurationFeed.completeUntil(),
+        NewestEra, ConfigurationFeed.next(), ConfigurationFeed.completeUntil(),
         EndpointFeed.completeUntil(),
         EndpointFeed.isComplete() ? EndpointFeed.next() : 0};
   };
@@ -159,9 +160,8 @@
                                           const auto &notice) {
     State.applyNotice(endpoint, notice);
   };
-  *State.Clients.PlatformStore.Eras = [this](const StoreEra::Era &era) {
-    noteStoreEra(era);
-  };
+  State.OnStoreEra = [this](const auto &era) { noteStoreEra(era); };
+  *State.Clients.PlatformStore.Eras = State.OnStoreEra;
   State.FleetView.OnConfiguration = [this] {
     applyLimits();
     State.Coordination.onConfiguration();
@@ -269,125 +269,10 @@
   });
 }
 
-namespace {
-
-Fleet::EndpointReport toEndpointReport(const FleetLink::EndpointEntry &entry) {
-  Fleet::EndpointReport out;
-  out.Id = entry.Endpoint;
-  out.Service = entry.Service;
-  out.Address = entry.Address;
-  out.FailureDomain = entry.FailureDomain;
-  out.State = entry.Draining ? Fleet::EndpointState::Draining
-                             : Fleet::EndpointState::Ready;
-  out.Slots = entry.Slots;
-  out.StartedUnixMs = entry.StartedUnixMs;
-  out.Sequence = entry.Sequence;
-  out.ColdRemaining = milliseconds(entry.ColdInMs);
-  for (const FleetLink::ModelEntry &model : entry.Models) {
-    Fleet::ResidentModel held{model.Name, 0, {}};
-    for (const FleetLink::AdapterEntry &it : model.Adapters)
-      held.Adapters.push_back(it.Name);
-    if (model.ReadyInMs == 0)
-      out.Models.push_back(std::move(held));
-  }
-  return out;
-}
-
-} // namespace
-
-void Process::onHeartbeat(const FleetLink::Heartbeat &heartbeat,
-                          std::optional<Utils::TimePoint> reportedAt) {
-  if (!State.Coordination.isHolder()) {
-    applyEntries(heartbeat);
-    if (reportedAt)
-      noteHolderReads(heartbeat, *reportedAt);
-  }
-  State.PendingDispatch.retry();
-}
-
-/// Relies on the holder's reads of the store, as far as they are recent, in
-/// place of reads by this gateway.
-void Process::noteHolderReads(const FleetLink::Heartbeat &heartbeat,
-                              Utils::TimePoint reportedAt) {
-  ConfigurationFeed.noteHolderOffset(
-      heartbeat.OperatorsNext,
-      reportedAt - milliseconds(heartbeat.OperatorsAgeMs), reportedAt);
-  State.Coordination.relayRecords(
-      ConfigurationFeed.lacksHolderRecords(Utils::BootClock::now()));
-  Utils::TimePoint asOf = reportedAt - milliseconds(heartbeat.EndpointsAgeMs);
-  if (!State.Coordination.member().hasCompleteTable())
-    return EndpointFeed.awaitHolderSnapshot(asOf, reportedAt);
-  if (asOf + MaxRelayedAge >= reportedAt)
-    removeUnlisted(asOf);
-  EndpointFeed.noteHolderSnapshot(asOf, reportedAt);
-}
-
-void Process::noteStoreEra(const StoreEra::Era &era) {
-  if (era <= NewestEra)
-    return;
-  StoreEra::Era before = std::exchange(NewestEra, era);
-  if (!before.isKnown())
-    return;
-  Utils::Event("store_era_changed")
-      .with("era_before", StoreEra::textOf(before))
-      .with("era", StoreEra::textOf(era))
-      .with("configuration_next", ConfigurationFeed.next())
-      .with("endpoints_next", EndpointFeed.next())
-      .with("duty_end", State.Coordination.dutyEnd())
-      .warning();
-  State.MetricsRegistry.add("hickory_gateway_store_era_changes_total", "");
-}
-
-void Process::applyOperators(const std::vector<TopicRecord> &records,
-                             bool isSnapshot) {
-  State.Coordination.noteOperatorsRecords(records, isSnapshot);
-  Utils::TimePoint absentAt = ConfigurationFeed.completeBefore();
-  State.FleetView.applyOperators(
-      records, isSnapshot,
-      absentAt == Utils::TimePoint{} ? std::nullopt : std::optional(absentAt),
-      Utils::BootClock::now());
-}
-
-void Process::applyRelayed(const RelayedRecords &relayed) {
-  if (!ConfigurationFeed.noteRelayed(relayed.Next, relayed.AsOf))
-    return;
-  Utils::TimePoint now = Utils::BootClock::now();
-  State.MetricsRegistry.add("hickory_gateway_relayed_reads_total", "");
-  Utils::Event("records_relayed")
-      .with("records", relayed.Records.size())
-      .with("next", relayed.Next)
-      .with("age_ms", Utils::msBetween(relayed.AsOf, now))
-      .with("ms", Utils::msBetween(relayed.RequestedAt, now))
-      .info();
-  applyOperators(relayed.Records, true);
-}
-
-void Process::applyEntries(const FleetLink::Heartbeat &heartbeat) {
-  Utils::TimePoint now = Utils::BootClock::now();
-  for (const FleetLink::EndpointEntry &it : heartbeat.Entries)
-    if (it.Removed) {
-      State.FleetView.removeEndpoint(it.Endpoint, now);
-    } else {
-      State.FleetView.applyReport(toEndpointReport(it), now);
-      if (it.Draining)
-        State.FleetView.noteLeaving(it.Endpoint, it.StartedUnixMs);
-    }
-}
-
-/// Removes the endpoints that the holder's table, read from the store at
-/// `asOf`, does not list. A holder sends the removals that it has seen itself:
-/// one that has just started does not know what its predecessor listed.
-void Process::removeUnlisted(Utils::TimePoint asOf) {
-  auto unlisted = State.Coordination.member().unlistedEndpoints(
-      State.FleetView.endpoints(), asOf);
-  Utils::TimePoint now = Utils::BootClock::now();
-  for (const std::string &id : unlisted)
-    State.FleetView.removeEndpoint(id, now);
-}
-
 bool Process::isReady() const {
+  bool isOutdated = !State.ConfigurationConfirmed && State.lacksConfiguration();
   return !ShuttingDown && State.FleetView.configuration() != nullptr &&
-         EndpointFeed.hasSnapshot();
+         !isOutdated && EndpointFeed.hasSnapshot();
 }
 
 void Process::onReadinessRequest(const HttpIo::ServerConnectionRef &caller) {
--- a/src/libs/gateway/recordrelay.cpp
+++ b/src/libs/gateway/recordrelay.cpp
@@ -80,8 +80,9 @@
 }
 
 std::optional<FleetLink::RecordFragment>
-RecordSource::answer(const FleetLink::RecordRequest &request, uint64_t next,
-                     Utils::TimePoint asOf, Utils::TimePoint now) {
+RecordSource::answer(const FleetLink::RecordRequest &request,
+                     const StoreEra::Position &next, Utils::TimePoint asOf,
+                     Utils::TimePoint now) {
   encode();
   uint32_t count = fragmentCount(Encoded->size());
   if (count > MaxFragments)
@@ -89,7 +90,7 @@
   FleetLink::RecordFragment out;
   out.Incarnation = request.Incarnation;
   out.Transfer = request.Transfer;
-  out.State = {next, Digest};
+  out.State = {next.Offset, Digest, next.InEra};
   bool isSameState = request.State == out.State;
   out.Fragment = isSameState ? request.Fragment : 0;
   out.Fragments = count;
@@ -104,6 +105,22 @@
   return out;
 }
 
+std::vector<TopicRecord>
+withConfigurationInForce(std::vector<TopicRecord> records, bool isSnapshot,
+                         const std::string &key, const std::string &text) {
+  if (text.empty())
+    return records;
+  bool isListed = false;
+  for (TopicRecord &it : records)
+    if (it.Key == key) {
+      it.Value = text;
+      isListed = true;
+    }
+  if (isSnapshot && !isListed)
+    records.push_back({key, text});
+  return records;
+}
+
 void RecordTransfer::start(Utils::TimePoint now) {
   if (Active)
     return;
@@ -183,7 +200,7 @@
   if (!decoded)
     return std::nullopt;
   RelayedRecords out;
-  out.Next = State->Next;
+  out.Next = {State->InEra, State->Next};
   out.AsOf = StartedAt - MaxAge;
   out.RequestedAt = StartedAt;
   for (auto &[key, value] : decoded.value())
--- a/src/libs/gateway/recordrelay.h
+++ b/src/libs/gateway/recordrelay.h
@@ -24,12 +24,13 @@
   void apply(const std::vector<TopicRecord> &records, bool isSnapshot);
   /// Answers a request for a fragment: with that fragment, or with the first
   /// one if the request names another state than the present one. `next` is
-  /// the offset up to which the topic was read, and `asOf` the time at which
+  /// the position up to which the topic was read, and `asOf` the time at which
   /// that was its end. Returns nothing beyond the link's share, and for a
   /// fragment that does not exist.
   std::optional<FleetLink::RecordFragment>
-  answer(const FleetLink::RecordRequest &request, uint64_t next,
-         Utils::TimePoint asOf, Utils::TimePoint now);
+  answer(const FleetLink::RecordRequest &request,
+         const StoreEra::Position &next, Utils::TimePoint asOf,
+         Utils::TimePoint now);
 
 private:
   void encode();
@@ -44,11 +45,19 @@
   Utils::TimePoint BudgetAt{};
 };
 
+/// Returns records as they are read from the store, with the configuration in
+/// force, `text`, in place of an older or an absent one: a store that comes
+/// back from an older copy must not undo at another gateway what is in force
+/// here. `key`: that of the configuration.
+std::vector<TopicRecord>
+withConfigurationInForce(std::vector<TopicRecord> records, bool isSnapshot,
+                         const std::string &key, const std::string &text);
+
 /// A topic as another gateway has relayed it.
 struct RelayedRecords {
   std::vector<TopicRecord> Records;
-  /// Offset up to which the topic was read.
-  uint64_t Next = 0;
+  /// Position up to which the topic was read.
+  StoreEra::Position Next;
   /// The records are complete up to this time, or a later one.
   Utils::TimePoint AsOf{};
   /// Time at which the first request of the transfer was sent.
--- a/src/libs/gateway/tablechangelog.cpp
+++ b/src/libs/gateway/tablechangelog.cpp
@@ -48,8 +48,9 @@
 }
 
 void TableChangelog::markReadFromStore(
-    uint64_t next, const std::vector<std::string> &exceptions) {
-  StoreReadOffset = next;
+    const StoreEra::Position &next,
+    const std::vector<std::string> &exceptions) {
+  StoreRead = next;
   // Gateways assign the revisions below this to the entries that they read.
   Revision += FleetLink::ReservedRevisions;
   StoreReadRevision = Revision;
@@ -60,7 +61,8 @@
 /// Whether the gateway has itself read the records behind the entries up to
 /// StoreReadRevision.
 bool TableChangelog::hasReadStore(const FleetLink::Report &report) const {
-  return StoreReadOffset > 0 && report.EndpointsNext >= StoreReadOffset;
+  return StoreRead.Offset > 0 && report.StoreEra == StoreRead.InEra &&
+         report.EndpointsNext >= StoreRead.Offset;
 }
 
 /// Revision up to which the gateway knows the table. An incomplete table of
--- a/src/libs/gateway/tablechangelog.h
+++ b/src/libs/gateway/tablechangelog.h
@@ -53,7 +53,7 @@
   void adoptRevisions(const KnownTable &before);
   /// The entries match the store's records up to `next`, except those of
   /// `exceptions`.
-  void markReadFromStore(uint64_t next,
+  void markReadFromStore(const StoreEra::Position &next,
                          const std::vector<std::string> &exceptions);
   /// Adds the entries that the gateway does not know to the answer to its
   /// report, within the limits; the rest follows with the next heartbeats.
@@ -77,9 +77,9 @@
   std::map<std::string, uint64_t> Revisions;
   std::set<std::pair<uint64_t, std::string>> Changes;
   std::map<std::string, std::string> Contents;
-  /// Offset up to which the store was read for the entries up to
-  /// StoreReadRevision; 0 if the holder has not read all records.
-  uint64_t StoreReadOffset = 0;
+  /// Position up to which the store was read for the entries up to
+  /// StoreReadRevision; offset 0 if the holder has not read all records.
+  StoreEra::Position StoreRead;
   uint64_t StoreReadRevision = 0;
 };
 
--- a/src/libs/gateway/topicfeed.cpp
+++ b/src/libs/gateway/topicfeed.cpp
@@ -21,7 +21,7 @@
                      Options options, RecordsCallback onRecords)
     : Source(store), Config(std::move(options)),
       OnRecords(std::move(onRecords)), ReadTimer(loop),
-      Random(std::random_device{}()) {}
+      Random(std::random_device{}()), RetentionTimer(loop) {}
 
 void TopicFeed::start(Utils::TimePoint at) { readAt(at); }
 
@@ -29,11 +29,14 @@
   if (Reading)
     return;
   Reading = true;
+  ++ReadNumber;
   Utils::TimePoint now = Utils::BootClock::now();
   if (!Complete)
     return readPage(now);
-  auto done = [this, now,
-               from = Next](const Utils::Outcome<TopicRead> &result) {
+  auto done = [this, now, from = Next,
+               number = ReadNumber](const Utils::Outcome<TopicRead> &result) {
+    if (number != ReadNumber)
+      return;
     Reading = false;
     // The holder's records were applied meanwhile: this answer is older.
     bool isAnswer = result || result.error().Code == Utils::Errc::OutOfRange;
@@ -52,8 +55,10 @@
 /// read again: many VMs that restart from the first page at once would never
 /// reach the last one.
 void TopicFeed::readPage(Utils::TimePoint now) {
-  auto done = [this,
-               attempt = SnapshotAttempt](Utils::Outcome<TopicPage> page) {
+  auto done = [this, attempt = SnapshotAttempt,
+               number = ReadNumber](Utils::Outcome<TopicPage> page) {
+    if (number != ReadNumber)
+      return;
     Reading = false;
     if (attempt != SnapshotAttempt)
       return readAfter(Utils::Milliseconds(0));
@@ -101,8 +106,9 @@
   if (!hasMore)
     CompleteUntil = std::max(CompleteUntil, sentAt);
   Next = result.Next;
+  bool isWhole = isSnapshot && sentAt >= RetainUntil;
   if (isSnapshot || !result.Records.empty())
-    OnRecords(result.Records, isSnapshot);
+    OnRecords(result.Records, isWhole);
   readAfter(hasMore ? Utils::Milliseconds(0) : Config.Pause);
 }
 
@@ -159,15 +165,49 @@
     readAt(NotBefore);
 }
 
-void TopicFeed::noteHolderOffset(uint64_t next, Utils::TimePoint asOf,
+void TopicFeed::startEra(const StoreEra::Era &era, Utils::TimePoint retainUntil,
+                         bool readNow) {
+  bool isFirst = !InEra.isKnown();
+  InEra = era;
+  if (isFirst)
+    return;
+  HasOtherSnapshot = hasSnapshot();
+  Next = 0;
+  BehindSince.reset();
+  if (readNow)
+    NotBefore = {};
+  RetainUntil = retainUntil;
+  rereadSnapshot(std::max(Utils::BootClock::now(), NotBefore));
+  RetentionTimer.expires_at(RetainUntil);
+  RetentionTimer.async_wait([this](const std::error_code &ec) {
+    if (!ec)
+      rereadSnapshot(std::max(RetainUntil, NotBefore));
+  });
+}
+
+/// Drops the read in flight, and reads a snapshot from its first page on.
+void TopicFeed::rereadSnapshot(Utils::TimePoint at) {
+  ++ReadNumber;
+  Reading = false;
+  restartSnapshot();
+  readAt(at);
+}
+
+void TopicFeed::noteHolderOffset(const StoreEra::Position &holder,
+                                 Utils::TimePoint asOf,
                                  Utils::TimePoint reportedAt) {
-  if (Complete && Next >= next)
+  using StoreEra::Comparison;
+  Comparison comparison = compare(holder, position());
+  if (comparison == Comparison::EarlierEra)
+    return;
+  bool isAhead = comparison != Comparison::NotAhead;
+  if (Complete && !isAhead)
     BehindSince.reset();
   else if (!BehindSince)
     BehindSince = Utils::BootClock::now();
   if (!Complete || asOf + MaxRelayedAge < reportedAt)
     return;
-  if (Next >= next)
+  if (!isAhead)
     return postpone(asOf, reportedAt);
   // The next heartbeat shows whether there are more records.
   postponeReads(reportedAt);
@@ -179,12 +219,13 @@
          (Failures > 0 || now >= *BehindSince + SlowStoreLatency);
 }
 
-bool TopicFeed::noteRelayed(uint64_t next, Utils::TimePoint asOf) {
-  if (Complete && Next >= next)
+bool TopicFeed::noteRelayed(const StoreEra::Position &next,
+                            Utils::TimePoint asOf) {
+  if (next.InEra != InEra || (Complete && Next >= next.Offset))
     return false;
   restartSnapshot();
   Complete = true;
-  Next = next;
+  Next = next.Offset;
   CompleteBefore = CompleteUntil;
   CompleteUntil = std::max(CompleteUntil, asOf);
   BehindSince.reset();
@@ -208,7 +249,7 @@
   if (asOf + MaxRelayedAge < reportedAt)
     return;
   restartSnapshot();
-  HasHolderSnapshot = true;
+  HasOtherSnapshot = true;
   postpone(asOf, reportedAt);
 }
 
--- a/src/libs/gateway/topicfeed.h
+++ b/src/libs/gateway/topicfeed.h
@@ -35,18 +35,27 @@
   /// Starts to read at that time, unless the holder's answers postpone it or
   /// resume() comes first.
   void start(Utils::TimePoint at);
+  /// The store has named this era, higher than the one before. Drops the
+  /// positions of the era before and the read in flight, and reads a snapshot,
+  /// now or when the holder's answers no longer postpone it. Until
+  /// `retainUntil` a snapshot counts as an addition, since the store may lack
+  /// records that their writers write again; then another one is read. The
+  /// first known era only names that of the positions.
+  void startEra(const StoreEra::Era &era, Utils::TimePoint retainUntil,
+                bool readNow);
   /// The holder answered a report sent at `reportedAt`: it had read the topic
   /// up to `next`, which was its end at `asOf`. Reads new records at once, and
-  /// otherwise postpones the next read.
-  void noteHolderOffset(uint64_t next, Utils::TimePoint asOf,
+  /// otherwise postpones the next read; an offset of an earlier era does
+  /// neither.
+  void noteHolderOffset(const StoreEra::Position &next, Utils::TimePoint asOf,
                         Utils::TimePoint reportedAt);
   /// Whether this gateway lacks records that the holder has read, and its own
   /// read has failed or is overdue.
   bool lacksHolderRecords(Utils::TimePoint now) const;
   /// The holder has relayed the whole topic up to offset `next`, which was its
   /// end at `asOf`. Returns false, and changes nothing, if this gateway has
-  /// read as much itself.
-  bool noteRelayed(uint64_t next, Utils::TimePoint asOf);
+  /// read as much itself, or if `next` is of another era.
+  bool noteRelayed(const StoreEra::Position &next, Utils::TimePoint asOf);
   /// The holder has sent all that the topic held at `asOf`: postpones the next
   /// read, which reads a snapshot.
   void noteHolderSnapshot(Utils::TimePoint asOf, Utils::TimePoint reportedAt);
@@ -56,6 +65,7 @@
   /// Reads from the store again, starting now.
   void resume();
   uint64_t next() const { return Next; }
+  StoreEra::Position position() const { return {InEra, Next}; }
   /// Time up to which the data is complete; the epoch before the first read.
   Utils::TimePoint completeUntil() const { return CompleteUntil; }
   /// Value of completeUntil() before the latest answered read: the records of
@@ -63,8 +73,9 @@
   Utils::TimePoint completeBefore() const { return CompleteBefore; }
   /// A snapshot was read, and later records are read from next() on.
   bool isComplete() const { return Complete; }
-  /// Whether a snapshot was read or received from the holder.
-  bool hasSnapshot() const { return Complete || HasHolderSnapshot; }
+  /// Whether a snapshot was read or received from the holder, also in an
+  /// earlier era.
+  bool hasSnapshot() const { return Complete || HasOtherSnapshot; }
 
   /// Called when a read was answered or has failed.
   std::function<void(bool answered)> OnStoreCall = [](bool) {};
@@ -77,6 +88,7 @@
               bool isSnapshot);
   void noteSuccess();
   void restartSnapshot();
+  void rereadSnapshot(Utils::TimePoint at);
   void onFailure(const Utils::Failure &failure);
   void readAfter(Utils::Milliseconds delay);
   void readAt(Utils::TimePoint at);
@@ -88,7 +100,15 @@
   RecordsCallback OnRecords;
   HttpIo::Timer ReadTimer;
   std::minstd_rand Random;
+  /// Era of Next and of the pages.
+  StoreEra::Era InEra;
   uint64_t Next = 0;
+  /// Number of the read in flight. The answer to an earlier read is dropped: it
+  /// belongs to an earlier era.
+  uint64_t ReadNumber = 0;
+  /// Until then snapshots count as additions.
+  Utils::TimePoint RetainUntil{};
+  HttpIo::Timer RetentionTimer;
   /// Pages of the snapshot that were read since SnapshotStartedAt, and the key
   /// after which the next page starts.
   TopicRead SnapshotPages;
@@ -97,7 +117,7 @@
   /// Counts restarts of the snapshot; pages of an earlier one are dropped.
   uint64_t SnapshotAttempt = 0;
   bool Complete = false;
-  bool HasHolderSnapshot = false;
+  bool HasOtherSnapshot = false;
   uint32_t Failures = 0;
   bool Reading = false;
   /// No read starts before this point, however the last one ended.
--- a/src/libs/gateway/view.cpp
+++ b/src/libs/gateway/view.cpp
@@ -102,6 +102,7 @@
     return;
   logLimitChanges(**decoded, Current.get());
   Current = *decoded;
+  CurrentText = text;
   Utils::Event("configuration_applied")
       .with("version", Current->Version)
       .with("routes", Current->Routes.size())
--- a/src/libs/gateway/view.h
+++ b/src/libs/gateway/view.h
@@ -42,6 +42,8 @@
 
   /// Null before the first configuration.
   const Fleet::ConfigurationRef &configuration() const { return Current; }
+  /// Its text as the operators wrote it; empty before the first.
+  const std::string &configurationText() const { return CurrentText; }
   const Fleet::EndpointTable &endpoints() const { return Endpoints; }
   const Fleet::Evacuations &evacuations() const { return Evacuations; }
 
@@ -63,6 +65,7 @@
 
   const Store &Source;
   Fleet::ConfigurationRef Current;
+  std::string CurrentText;
   Fleet::EndpointTable Endpoints;
   Fleet::Evacuations Evacuations;
 };
--- a/tests/auto/fleettable/tst_fleettable.cpp
+++ b/tests/auto/fleettable/tst_fleettable.cpp
@@ -122,7 +122,7 @@
 TEST_CASE_FIXTURE(LargeFleet,
                   "gateway that has read the store itself is sent only "
                   "what changed since the holder read it") {
-  Holder.Changelog.markReadFromStore(5000, {"i-7"});
+  Holder.Changelog.markReadFromStore({{}, 5000}, {"i-7"});
   Member.readStore(Holder.Held, 5000);
   Holder.set("i-8", "m2");
   Holder.remove("i-9");
@@ -135,7 +135,7 @@
                   "gateway that read the store before the holder did is "
                   "sent all entries over several heartbeats") {
   Member.readStore({{"i-0", "m9"}}, 4999);
-  Holder.Changelog.markReadFromStore(5000, {});
+  Holder.Changelog.markReadFromStore({{}, 5000}, {});
   Member.exchange(Holder, 1);
   CHECK_FALSE(Member.Table.isComplete());
   CHECK(Member.Table.endpointsWith("m0") == nullptr);
@@ -149,7 +149,7 @@
     LargeFleet,
     "gateway that receives the table in parts gets no more of it once it "
     "has read the store itself") {
-  Holder.Changelog.markReadFromStore(5000, {});
+  Holder.Changelog.markReadFromStore({{}, 5000}, {});
   Member.exchange(Holder, 1);
   Member.readStore(Holder.Held, 5001);
   Member.exchange(Holder, 1);
@@ -159,7 +159,7 @@
 
 TEST_CASE_FIXTURE(LargeFleet, "new holder sends only the entries that "
                               "changed since the gateway's revision") {
-  Holder.Changelog.markReadFromStore(5000, {});
+  Holder.Changelog.markReadFromStore({{}, 5000}, {});
   Member.readStore(Holder.Held, 5000);
   Member.exchange(Holder, 1);
   TestMember other = Member;
@@ -247,7 +247,7 @@
       if (randomBelow(5) == 0)
         return takeOver();
       if (randomBelow(3) == 0)
-        Holder->Changelog.markReadFromStore(Next, {});
+        Holder->Changelog.markReadFromStore({{}, Next}, {});
       return;
     default:
       member.exchange(*Holder, Token, 1 + randomBelow(9));
--- a/tests/auto/recordrelay/tst_recordrelay.cpp
+++ b/tests/auto/recordrelay/tst_recordrelay.cpp
@@ -27,7 +27,7 @@
   }
   std::optional<FleetLink::RecordFragment>
   answer(const FleetLink::RecordRequest &request, Utils::TimePoint now) {
-    return Source.answer(request, Next, ReadAt, now);
+    return Source.answer(request, {{}, Next}, ReadAt, now);
   }
 
   RecordSource Source;
@@ -75,7 +75,7 @@
   Holder holder;
   auto relayed = finish(holder);
   REQUIRE(relayed);
-  CHECK(relayed->Next == holder.Next);
+  CHECK(relayed->Next.Offset == holder.Next);
   CHECK(byKey(*relayed).at("config") == std::string(LargeBytes, 'a'));
   CHECK(byKey(*relayed).at("evacuate/z") == "{}");
   CHECK_FALSE(Transfer.isActive());
@@ -113,7 +113,7 @@
   CHECK_FALSE(deliver(early));
   auto relayed = finish(holder);
   REQUIRE(relayed);
-  CHECK(relayed->Next == holder.Next);
+  CHECK(relayed->Next.Offset == holder.Next);
   CHECK(byKey(*relayed).at("config") == std::string(LargeBytes, 'b'));
 }
 
@@ -223,7 +223,7 @@
           continue;
         ++finished;
         auto records = byKey(*relayed);
-        auto it = lastRead.find({relayed->Next, records.at("config")});
+        auto it = lastRead.find({relayed->Next.Offset, records.at("config")});
         REQUIRE(it != lastRead.end());
         REQUIRE(relayed->AsOf <= it->second);
       }
@@ -231,3 +231,15 @@
   }
   CHECK(finished > int(seeds));
 }
+
+// A holder that has read a copy of the store would take others back to it.
+TEST_CASE("record of an older configuration is relayed as the one in force") {
+  std::vector<TopicRecord> copy = {{"config", "v1"}, {"evacuate/z", "{}"}};
+  auto records = withConfigurationInForce(copy, true, "config", "v2");
+  REQUIRE(records.size() == 2);
+  CHECK(records[0].Value == "v2");
+  CHECK(records[1].Value == "{}");
+  CHECK(withConfigurationInForce({}, true, "config", "v2").at(0).Value == "v2");
+  CHECK(withConfigurationInForce({}, false, "config", "v2").empty());
+  CHECK(withConfigurationInForce(copy, true, "config", "").at(0).Value == "v1");
+}
--- a/tests/auto/storeera/tst_storeera.cpp
+++ b/tests/auto/storeera/tst_storeera.cpp
@@ -150,3 +150,36 @@
   auto before = awaitStatus(late, "/new/", 200);
   CHECK_FALSE(contains(before, 404));
 }
+
+// An evacuation is in force until the operator withdraws it.
+TEST_CASE_FIXTURE(DrillFixture,
+                  "store that comes back older, evacuation that the copy lacks "
+                  "stays, and ends when its record is deleted") {
+  EraGateway &gateway = startReady("a");
+  writeEvacuation("z");
+  awaitMetric(gateway, "hickory_gateway_evacuated_domains", 1);
+  Store.comeBackFrom(Copy);
+  awaitMetric(gateway, "hickory_gateway_store_era", 2);
+  awaitReads(Operators);
+  CHECK(metric(gateway, "hickory_gateway_evacuated_domains") == 1);
+  Store.write(Operators, "evacuate/z", std::nullopt);
+  awaitMetric(gateway, "hickory_gateway_evacuated_domains", 0);
+}
+
+// The copy lists the endpoint as it was; the gateway knows of its removal.
+TEST_CASE_FIXTURE(DrillFixture,
+                  "store that comes back older, entry that was removed and is "
+                  "in the copy again, the endpoint stays removed") {
+  addEndpoint("i-2");
+  Copy = Store.copy();
+  EraGateway &gateway = startReady("a");
+  awaitMetric(gateway, "hickory_gateway_endpoints", 2);
+  Store.write(Servers, "i-2", std::nullopt);
+  awaitMetric(gateway, "hickory_gateway_endpoints", 1);
+  Store.comeBackFrom(Copy);
+  awaitMetric(gateway, "hickory_gateway_store_era", 2);
+  awaitReads(Servers);
+  CHECK(metric(gateway, "hickory_gateway_endpoints") == 1);
+  writeEntry("i-2");
+  awaitMetric(gateway, "hickory_gateway_endpoints", 2);
+}
--- a/tests/auto/topicfeed/tst_topicfeed.cpp
+++ b/tests/auto/topicfeed/tst_topicfeed.cpp
@@ -144,8 +144,8 @@
   LogEnd = End + 3;
   runUntil([this] { return ReadFrom > 0; });
   size_t before = CompleteAtLogRead.size();
-  CHECK(Feed.noteRelayed(LogEnd, Utils::BootClock::now()));
-  CHECK_FALSE(Feed.noteRelayed(LogEnd, Utils::BootClock::now()));
+  CHECK(Feed.noteRelayed({{}, LogEnd}, Utils::BootClock::now()));
+  CHECK_FALSE(Feed.noteRelayed({{}, LogEnd}, Utils::BootClock::now()));
   runUntil([this] { return ReadFrom >= LogEnd; });
   CHECK(CompleteAtLogRead.size() == before);
   CHECK(Feed.next() == LogEnd);
@@ -160,10 +160,10 @@
                           Utils::TimePoint, const Store::ReadDone &) {};
   Utils::TimePoint now = Utils::BootClock::now();
   CHECK_FALSE(Feed.lacksHolderRecords(now + 1h));
-  Feed.noteHolderOffset(Feed.next() + 1, now, now);
+  Feed.noteHolderOffset({{}, Feed.next() + 1}, now, now);
   CHECK_FALSE(Feed.lacksHolderRecords(Utils::BootClock::now()));
   CHECK(Feed.lacksHolderRecords(Utils::BootClock::now() + 1s));
-  CHECK(Feed.noteRelayed(Feed.next() + 1, now));
+  CHECK(Feed.noteRelayed({{}, Feed.next() + 1}, now));
   CHECK_FALSE(Feed.lacksHolderRecords(Utils::BootClock::now() + 1s));
 }
 
@@ -177,3 +177,56 @@
   CHECK(CompleteAtLogRead[2] > CompleteAtLogRead[1]);
   CHECK(Feed.next() == LogEnd);
 }
+
+// Issue 38: positions of an era mean nothing in the next one.
+TEST_CASE_FIXTURE(PagedTopic,
+                  "feed that learns of a new era drops the answer to a read of "
+                  "the era before and reads a snapshot") {
+  Feed.startEra({1}, {}, true);
+  runUntil([this] { return ReadFrom > 0; });
+  Store::ReadDone late;
+  FakeStore.ReadFrom = [&](Topic, uint64_t, Utils::Milliseconds,
+                           Utils::TimePoint,
+                           const Store::ReadDone &done) { late = done; };
+  runUntil([&] { return late != nullptr; });
+  auto before = std::exchange(late, nullptr);
+  Feed.startEra({2}, {}, true);
+  CHECK(Feed.hasSnapshot());
+  CHECK(Feed.position() == StoreEra::Position{{2}, 0});
+  size_t snapshots = Snapshots.size();
+  size_t logReads = CompleteAtLogRead.size();
+  before(TopicRead{5000, {{"k", "old"}}, 5000});
+  CHECK(CompleteAtLogRead.size() == logReads);
+  runUntil([&] { return Snapshots.size() > snapshots; });
+  CHECK(Feed.position().Offset < 5000);
+}
+
+// An offset of the era before compares as newer than all of the present one.
+TEST_CASE_FIXTURE(PagedTopic,
+                  "feed that gets an offset of an earlier era from the holder "
+                  "neither postpones its read nor lacks records") {
+  Feed.startEra({2}, {}, true);
+  runUntil([this] { return ReadFrom > 0; });
+  Utils::TimePoint now = Utils::BootClock::now();
+  Feed.noteHolderOffset({{1}, 5000}, now, now);
+  CHECK_FALSE(Feed.lacksHolderRecords(now + 1h));
+  CHECK_FALSE(Feed.noteRelayed({{1}, 5000}, now));
+  CHECK(Feed.next() < 5000);
+  CHECK(Feed.noteRelayed({{2}, 5000}, now));
+}
+
+// The copy lacks records that their writers write again.
+TEST_CASE_FIXTURE(PagedTopic,
+                  "feed that has learned of a new era reads snapshots as "
+                  "additions, and a whole one at the end of the retention") {
+  Feed.startEra({1}, {}, true);
+  runUntil([this] { return ReadFrom > 0; });
+  size_t before = Snapshots.size();
+  int pages = Calls[""];
+  Utils::TimePoint end = Utils::BootClock::now() + 200ms;
+  Feed.startEra({2}, end, true);
+  runUntil([&] { return Calls[""] > pages && Feed.isComplete(); });
+  CHECK(Snapshots.size() == before);
+  runUntil([&] { return Snapshots.size() > before; });
+  CHECK(Utils::BootClock::now() >= end);
+}
