--- a/src/libs/gateway/call.cpp
+++ b/src/libs/gateway/call.cpp
@@ -87,6 +87,11 @@
     refuse(Unavailable, "no_configuration", DefaultRetryAfter);
     return false;
   }
+  // The store may have come back with a version that is no longer in force.
+  if (!State.ConfigurationConfirmed && State.lacksConfiguration()) {
+    refuse(Unavailable, "configuration_outdated", DefaultRetryAfter);
+    return false;
+  }
   if (!findRoute())
     return false;
   Deadline = ArrivedAt + Route->Timeout;
@@ -121,10 +126,13 @@
 }
 
 /// Refuses a call with what the configuration does not have, as not run if a
-/// newer one that cannot be decoded may have it.
+/// newer one may have it: one that cannot be decoded, or that this gateway has
+/// not received.
 void Call::refuseUnknown(unsigned status, std::string_view reason) {
   if (State.FleetView.isBehind())
     return refuse(Unavailable, "configuration_unreadable", DefaultRetryAfter);
+  if (State.mayLackConfiguration())
+    return refuse(Unavailable, "configuration_outdated", DefaultRetryAfter);
   refuse(status, reason);
 }
 
--- a/src/libs/gateway/view.h
+++ b/src/libs/gateway/view.h
@@ -45,6 +45,8 @@
   /// Whether the operators have written a newer configuration that could not be
   /// decoded: what the one in force does not have may exist.
   bool isBehind() const { return Behind; }
+  /// Its text as the operators wrote it; empty before the first.
+  const std::string &configurationText() const { return CurrentText; }
   const Fleet::EndpointTable &endpoints() const { return Endpoints; }
   const Fleet::Evacuations &evacuations() const { return Evacuations; }
 
@@ -71,6 +73,7 @@
   const Store &Source;
   Fleet::ConfigurationRef Current;
   bool Behind = false;
+  std::string CurrentText;
   Fleet::EndpointTable Endpoints;
   Fleet::Evacuations Evacuations;
 };
