Match routes for any form of the host and for absolute targets

A call whose Host was in upper case or had a port, or whose target was in absolute form, was answered 404 though its route existed. Hosts are compared without regard to case and port, and an absolute target is rewritten to its path and sets the host (RFC 9112, section 3.2.2).

--- a/src/libs/fleet/configuration.cpp
+++ b/src/libs/fleet/configuration.cpp
@@ -4,6 +4,33 @@
 
 namespace Fleet {
 
+namespace {
+
+std::string toLower(std::string_view text) {
+  std::string out(text);
+  for (char &c : out)
+    if (c >= 'A' && c <= 'Z')
+      c = char(c - 'A' + 'a');
+  return out;
+}
+
+/// HOST of HOST:PORT, or the text if it does not end with a port.
+std::string_view withoutPort(std::string_view text) {
+  size_t colon = text.rfind(':');
+  bool hasPort =
+      colon != std::string_view::npos &&
+      text.find_first_not_of("0123456789", colon + 1) == std::string_view::npos;
+  return hasPort ? text.substr(0, colon) : text;
+}
+
+bool isSameHost(std::string_view routeHost, std::string_view host) {
+  std::string name = toLower(routeHost);
+  std::string called = toLower(host);
+  return name == called || name == withoutPort(called);
+}
+
+} // namespace
+
 std::string_view routeKindName(RouteKind kind) {
   static constexpr std::string_view names[] = {"safe", "unsafe", "streaming"};
   return names[static_cast<size_t>(kind)];
@@ -33,7 +60,7 @@
     if (it.ModelEngine)
       it.ModelEngine->index();
   for (uint32_t i = 0; i < Routes.size(); ++i)
-    RoutesByHost[Routes[i].Host].push_back(i);
+    RoutesByHost[toLower(Routes[i].Host)].push_back(i);
   for (auto &[host, routes] : RoutesByHost)
     std::stable_sort(routes.begin(), routes.end(), [&](uint32_t a, uint32_t b) {
       return Routes[a].Prefix.size() > Routes[b].Prefix.size();
@@ -43,12 +70,21 @@
       TeamByKey[key] = i;
 }
 
+const std::vector<uint32_t> *
+Configuration::findRoutesOf(std::string_view host) const {
+  std::string name = toLower(host);
+  auto it = RoutesByHost.find(name);
+  if (it == RoutesByHost.end())
+    it = RoutesByHost.find(std::string(withoutPort(name)));
+  return it == RoutesByHost.end() ? nullptr : &it->second;
+}
+
 const Route *Configuration::findRoute(std::string_view host,
                                       std::string_view path) const {
-  auto it = RoutesByHost.find(std::string(host));
-  if (it == RoutesByHost.end())
+  const std::vector<uint32_t> *routes = findRoutesOf(host);
+  if (!routes)
     return nullptr;
-  for (uint32_t i : it->second)
+  for (uint32_t i : *routes)
     if (path.compare(0, Routes[i].Prefix.size(), Routes[i].Prefix) == 0)
       return &Routes[i];
   return nullptr;
@@ -81,7 +117,8 @@
                                           std::string_view path,
                                           const Route *match) const {
   auto mayTake = [&](const UnreadableEntry &it) {
-    if (it.Kind != EntryKind::Route || (it.Host && *it.Host != host) ||
+    if (it.Kind != EntryKind::Route ||
+        (it.Host && !isSameHost(*it.Host, host)) ||
         (it.Prefix && path.compare(0, it.Prefix->size(), *it.Prefix) != 0))
       return false;
     if (!match)
--- a/src/libs/fleet/configuration.h
+++ b/src/libs/fleet/configuration.h
@@ -154,7 +154,8 @@
   void index();
 
   /// The route of the host whose prefix is the longest match of the path, or
-  /// null.
+  /// null. The case of the host does not matter, nor does its port, unless the
+  /// host of a route names one.
   const Route *findRoute(std::string_view host, std::string_view path) const;
   /// The team that owns the access key, or null.
   const Team *findTeamByKey(std::string_view key) const;
@@ -174,7 +175,9 @@
   bool isServiceUnreadable(std::string_view name) const;
 
 private:
-  /// Indexes of the routes of each host, longest prefix first.
+  const std::vector<uint32_t> *findRoutesOf(std::string_view host) const;
+
+  /// Indexes of the routes of each host in lower case, longest prefix first.
   std::unordered_map<std::string, std::vector<uint32_t>> RoutesByHost;
   std::unordered_map<std::string, uint32_t> TeamByKey;
 };
--- a/src/libs/gateway/call.cpp
+++ b/src/libs/gateway/call.cpp
@@ -66,6 +66,7 @@
 }
 
 bool Call::resolveRoute() {
+  Http::toOriginForm(Request);
   auto metadata = State.Clients.Calls.Decode(Request);
   if (!metadata) {
     refuse(BadRequest, "malformed");
--- a/src/libs/http/message.cpp
+++ b/src/libs/http/message.cpp
@@ -69,6 +69,23 @@
   return target.substr(0, target.find('?'));
 }
 
+void toOriginForm(Request &request) {
+  for (std::string_view scheme : {"http://", "https://"}) {
+    std::string_view target = request.Target;
+    if (!equalsIgnoreCase(target.substr(0, scheme.size()), scheme))
+      continue;
+    target.remove_prefix(scheme.size());
+    size_t end = std::min(target.find_first_of("/?"), target.size());
+    request.Headers.erase("Host");
+    request.Headers.add("Host", target.substr(0, end));
+    std::string origin(target.substr(end));
+    if (origin.empty() || origin[0] != '/')
+      origin.insert(0, "/");
+    request.Target = std::move(origin);
+    return;
+  }
+}
+
 std::optional<unsigned> keepAliveSeconds(const Fields &headers) {
   const std::string *value = headers.find("Keep-Alive");
   if (!value)
--- a/src/libs/http/message.h
+++ b/src/libs/http/message.h
@@ -63,6 +63,11 @@
 /// The path of a request target, without the query.
 std::string_view pathOf(std::string_view target);
 
+/// Rewrites a target in absolute form, such as http://HOST/PATH, to its path
+/// and query, and sets Host to its authority, which counts in place of the
+/// field (RFC 9112, section 3.2.2). Leaves other targets as they are.
+void toOriginForm(Request &request);
+
 /// The `timeout` parameter of the Keep-Alive field, in seconds.
 std::optional<unsigned> keepAliveSeconds(const Fields &headers);
 
--- a/tests/auto/fleet/tst_fleet.cpp
+++ b/tests/auto/fleet/tst_fleet.cpp
@@ -44,6 +44,32 @@
   CHECK(config.findRoute("j", "/a/b/") == nullptr);
 }
 
+// Guards against 404 for a Host in upper case or with a port.
+TEST_CASE("route lookup, the host has another case or a port, matches") {
+  Configuration config;
+  for (const char *host : {"Desk.example", "port.example:8080", "[::1]"}) {
+    Route route;
+    route.Name = host;
+    route.Host = host;
+    route.Prefix = "/";
+    config.Routes.push_back(route);
+  }
+  config.index();
+  auto nameOf = [&](const char *host) {
+    const Route *route = config.findRoute(host, "/x");
+    return route ? route->Name : "";
+  };
+  CHECK(nameOf("desk.example") == "Desk.example");
+  CHECK(nameOf("DESK.EXAMPLE:80") == "Desk.example");
+  CHECK(nameOf("desk.example:") == "Desk.example");
+  CHECK(nameOf("desk.example:x") == "");
+  CHECK(nameOf("desk") == "");
+  CHECK(nameOf("Port.example:8080") == "port.example:8080");
+  CHECK(nameOf("port.example:80") == "");
+  CHECK(nameOf("port.example") == "");
+  CHECK(nameOf("[::1]:80") == "[::1]");
+}
+
 TEST_CASE("team lookup by key, returns the owner of exactly that key") {
   Configuration config;
   Team team;
--- a/tests/auto/http/tst_http.cpp
+++ b/tests/auto/http/tst_http.cpp
@@ -200,6 +200,23 @@
   CHECK(bytes <= 100'000);
 }
 
+// Guards against an absolute target that no route matches.
+TEST_CASE("target in absolute form is rewritten, and its host counts") {
+  auto rewritten = [](const char *target) {
+    Request request;
+    request.Target = target;
+    request.Headers.add("Host", "other");
+    toOriginForm(request);
+    return *request.Headers.find("Host") + " " + request.Target;
+  };
+  CHECK(rewritten("/a/b?c=http://h/") == "other /a/b?c=http://h/");
+  CHECK(rewritten("http://h.example:80/a/b?c") == "h.example:80 /a/b?c");
+  CHECK(rewritten("HTTPS://h/") == "h /");
+  CHECK(rewritten("http://h") == "h /");
+  CHECK(rewritten("http://h?c") == "h /?c");
+  CHECK(rewritten("*") == "other *");
+}
+
 TEST_CASE("keep-alive timeout and connection close are read from fields") {
   Fields headers;
   CHECK_FALSE(keepAliveSeconds(headers));
