Show that an older copy of the store gives a token out twice

The record of the duty may go back with the store. A gateway that claims from the copy takes the token that its last holder had, or acts at once on a release that a claim had followed.

tst_dutymodel gets the fault and three searches.

--- a/tests/auto/duty/dutymodel.cpp
+++ b/tests/auto/duty/dutymodel.cpp
@@ -49,6 +49,7 @@
     LastOrderAt = Now;
     while (Now < end && Outcome.Violation.empty()) {
       Now += Tick;
+      comeBackOlder();
       runEvents();
       for (size_t i = 0; i < VmCount; ++i)
         step(i);
@@ -83,6 +84,21 @@
     vm.State.ClaimDelay = Milliseconds(300 * int64_t(i));
   }
 
+  /// Takes the copies of the store, and brings it back from them.
+  void comeBackOlder() {
+    for (const Fault &it : Faults) {
+      if (it.Kind != FaultKind::OlderCopy)
+        continue;
+      if (Now == Start + it.At)
+        Copies[it.Vm] = {Newest, End};
+      if (auto copy = Copies.find(it.Vm);
+          copy != Copies.end() && Now == Start + it.At + it.Length) {
+        Newest = copy->second.first;
+        End = copy->second.second;
+      }
+    }
+  }
+
   void schedule(Milliseconds pause, std::function<void()> action) {
     Events.push_back({Now + pause, std::move(action)});
   }
@@ -322,6 +338,7 @@
   uint64_t Calls = 0;
   std::optional<Duty::Record> Newest;
   uint64_t End = 0;
+  std::map<size_t, std::pair<std::optional<Duty::Record>, uint64_t>> Copies;
   std::map<int64_t, size_t> TokenOwners;
   int64_t HighestToken = 0;
   std::optional<size_t> LastVm;
@@ -334,8 +351,8 @@
 
 std::string_view faultName(FaultKind kind) {
   static constexpr std::string_view names[] = {
-      "pause",      "restart",      "stop",         "hand_over",
-      "store_away", "answers_lost", "late_effects", "alone"};
+      "pause",        "restart",      "stop",  "hand_over", "store_away",
+      "answers_lost", "late_effects", "alone", "older_copy"};
   return names[static_cast<size_t>(kind)];
 }
 
--- a/tests/auto/duty/dutymodel.h
+++ b/tests/auto/duty/dutymodel.h
@@ -29,6 +29,9 @@
   ResponsesLost,    ///< They take effect, but their answers are lost.
   DelayedWrites,    ///< Its appends take effect 2.5 s late, unanswered.
   Isolated,         ///< It and the other VMs cannot reach each other.
+  /// At the end the store comes back from the copy that it had at the start,
+  /// whichever the VM.
+  OlderCopy,
 };
 
 std::string_view faultName(FaultKind kind);
--- a/tests/auto/duty/tst_dutymodel.cpp
+++ b/tests/auto/duty/tst_dutymodel.cpp
@@ -62,6 +62,27 @@
 /// Search with engines that ignore fencing tokens.
 struct UncheckedSearch : Search {};
 
+/// Search in which the store comes back from a copy that is up to 2.5 s older.
+struct OlderCopySearch : UncheckedSearch {
+  OlderCopySearch() {
+    for (auto at = 25ms; at < 8s; at += 175ms)
+      for (auto length : {100ms, 400ms, 1000ms, 2500ms})
+        Copies.push_back({FaultKind::OlderCopy, 0, at, length});
+  }
+  /// Runs each copy with `faults` random faults, `times` times.
+  void runCopies(size_t faults, int times) {
+    std::uniform_int_distribution<size_t> pick(0, All.size() - 1);
+    for (int i = 0; i < times; ++i)
+      for (const Fault &copy : Copies) {
+        std::vector<Fault> drawn{copy};
+        for (size_t n = 0; n < faults; ++n)
+          drawn.push_back(All[pick(Random)]);
+        runOne(drawn);
+      }
+  }
+  std::vector<Fault> Copies;
+};
+
 } // namespace
 
 TEST_CASE("holder without faults gives orders without a gap") {
@@ -128,3 +149,28 @@
   CHECK(result.Violation.empty());
   CHECK(result.Orders > 400);
 }
+
+// The copy may hold a lower token than one that engines have seen, and a
+// release that a claim has followed.
+TEST_CASE_FIXTURE(OlderCopySearch,
+                  "engines get no token of two holders, no lower one and no "
+                  "interleaved orders when the store comes back older") {
+  runCopies(0, 1);
+  CHECK_MESSAGE(Violations == 0, FirstViolation);
+}
+
+TEST_CASE_FIXTURE(OlderCopySearch,
+                  "engines get no token of two holders, no lower one and no "
+                  "interleaved orders when the store comes back older amid "
+                  "another fault") {
+  runCopies(1, combinations(40));
+  CHECK_MESSAGE(Violations == 0, FirstViolation);
+}
+
+TEST_CASE_FIXTURE(OlderCopySearch,
+                  "engines get no token of two holders, no lower one and no "
+                  "interleaved orders when the store comes back older amid "
+                  "two other faults") {
+  runCopies(2, combinations(40));
+  CHECK_MESSAGE(Violations == 0, FirstViolation);
+}
