Give no token of the duty out twice after the store came back older

Cause: a claim took the token after the one in the record that it read, and appends went on from an offset of the era before. After the store has come back from a copy, that record may be older than what engines have seen, and its release may have been followed by a claim.

Change: the record names the era in which it was written, and a VM keeps the highest token that it has heard of. A claim that follows a record of an earlier era waits a whole lease, adds 1000 to the token and waits the cool-down of a former holder before its first order. A holder whose lease still runs writes its record again and keeps its token; until then it gives no order, and one whose lease has run out has lost the duty. Answers to calls of the era before are dropped, and a report with a higher token ends a holder's term. Records without an era are still read.

--- a/src/libs/duty/duty.cpp
+++ b/src/libs/duty/duty.cpp
@@ -18,6 +18,22 @@
   return !state.Newest || state.Newest->Released;
 }
 
+/// Whether the newest record was written before the store came back from an
+/// older copy: a record that it lacks may have followed, whose holder may act
+/// until its lease ends.
+bool isOfEarlierEra(const LeaseState &state) {
+  if (!state.InEra.isKnown())
+    return false;
+  return state.Newest ? state.Newest->InEra < state.InEra
+                      : state.ExpectsRecord || state.HighestToken > 0;
+}
+
+/// Whether the holder of a record that the store has lost may still act.
+bool mayLackRecords(const LeaseState &state) {
+  return isOfEarlierEra(state) ||
+         (state.Newest && state.Newest->Token < state.HighestToken);
+}
+
 /// Whether the holder is an earlier process of this VM, which has ended.
 bool isHeldByPreviousProcess(const LeaseState &state) {
   return state.Newest && !state.Newest->Released &&
@@ -26,9 +42,10 @@
 
 /// When this VM may claim the duty at the earliest.
 TimePoint earliestClaimTime(const LeaseState &state, const Policy &policy) {
-  TimePoint from = isUnheld(state) ? state.RenewedBy
-                                   : std::max(leaseEnd(state, policy),
-                                              state.HolderActiveUntil);
+  bool isFree = isUnheld(state) && !mayLackRecords(state);
+  TimePoint from =
+      isFree ? state.RenewedBy
+             : std::max(leaseEnd(state, policy), state.HolderActiveUntil);
   return from + state.ClaimDelay;
 }
 
@@ -37,13 +54,17 @@
   return now >= state.HolderHeardAt + policy.HolderTimeout;
 }
 
+/// When the holder renews its lease: at once in a new era of the store.
+TimePoint renewalTime(const LeaseState &state, const Policy &policy) {
+  return std::min(state.RenewedBy + policy.RenewInterval, state.HeldUntil);
+}
+
 Step holderStep(const LeaseState &state, const Policy &policy, TimePoint now) {
   if (!state.RecordKnown)
     return Step::Read;
   if (state.Resigning || state.HandingOver)
     return Step::Release;
-  return now >= state.RenewedBy + policy.RenewInterval ? Step::Renew
-                                                       : Step::Wait;
+  return now >= renewalTime(state, policy) ? Step::Renew : Step::Wait;
 }
 
 } // namespace
@@ -56,7 +77,7 @@
     return Step::Wait;
   if (!state.RecordKnown)
     return Step::Read;
-  if (isHeldByPreviousProcess(state))
+  if (isHeldByPreviousProcess(state) && !mayLackRecords(state))
     return Step::Claim;
   if (now < earliestClaimTime(state, policy))
     return isHolderSilent(state, policy, now) && !isUnheld(state) ? Step::Read
@@ -82,7 +103,9 @@
   if (state.CallInFlight)
     return TimePoint::max();
   if (isHolder(state))
-    return std::max(state.NextAppendAt, state.RenewedBy + policy.RenewInterval);
+    return state.RecordKnown
+               ? std::max(state.NextAppendAt, renewalTime(state, policy))
+               : state.NextReadAt;
   if (state.RecordKnown && isHeldByPreviousProcess(state))
     return state.NextAppendAt;
   TimePoint next = std::min(state.HolderHeardAt + policy.HolderTimeout,
@@ -136,11 +159,31 @@
   bool heldRecently = std::any_of(
       claim.Former.begin(), claim.Former.end(),
       [&](const FormerHolder &it) { return it.Name == state.Self; });
+  // A copy may lack this VM's term, also one of an earlier process, and a
+  // record that follows a copy lacks it too.
+  bool isSuccessor = state.Newest && state.Newest->Holder != state.Self;
+  bool actedRecently =
+      state.ActedUntil &&
+      sentAt < *state.ActedUntil + policy.FormerHolderRetention;
+  heldRecently =
+      heldRecently || isOfEarlierEra(state) || (isSuccessor && actedRecently);
   return heldRecently ? from + policy.ReacquirePause : from;
 }
 
 } // namespace
 
+namespace {
+
+/// Token of a claim. A record of an earlier era may have been followed by
+/// claims that this VM does not know of.
+int64_t nextToken(const LeaseState &state, const Policy &policy) {
+  int64_t highest =
+      std::max(state.HighestToken, state.Newest ? state.Newest->Token : 0);
+  return highest + (isOfEarlierEra(state) ? policy.TokenStepOfEra : 1);
+}
+
+} // namespace
+
 Record recordFor(const LeaseState &state, const Policy &policy, Step step,
                  TimePoint now) {
   Record record;
@@ -148,9 +191,9 @@
   record.Address = state.Address;
   record.Members = state.Members;
   record.Released = step == Step::Release;
-  record.Token = step == Step::Claim
-                     ? (state.Newest ? state.Newest->Token : 0) + 1
-                     : state.HeldToken;
+  record.InEra = state.InEra;
+  record.Token =
+      step == Step::Claim ? nextToken(state, policy) : state.HeldToken;
   record.Notes = step != Step::Claim ? state.Notes
                  : state.Newest      ? state.Newest->Notes
                                      : std::string();
@@ -171,9 +214,17 @@
   state.End = end;
   if (changed)
     state.RenewedBy = state.HolderHeardAt = state.LearnedAt = renewedBy;
+  if (newest)
+    state.HighestToken = std::max(state.HighestToken, newest->Token);
+  // The store has lost the holder's record, and the holder writes it again.
+  bool isLost = isHolder(state) && (!newest || newest->InEra < state.InEra) &&
+                state.HeldToken == state.HighestToken;
+  if (isLost)
+    return;
   state.Newest = std::move(newest);
   bool isOwnRecord = state.Newest && state.Newest->Holder == state.Self &&
                      state.Newest->Token == state.HeldToken &&
+                     state.Newest->Token == state.HighestToken &&
                      !state.Newest->Released;
   if (!isOwnRecord)
     state.HeldToken = 0;
@@ -181,6 +232,31 @@
 
 } // namespace
 
+void noteStoreEra(LeaseState &state, const StoreEra::Era &era, TimePoint now) {
+  if (era <= state.InEra)
+    return;
+  bool isFirst = !state.InEra.isKnown();
+  state.InEra = era;
+  if (isFirst)
+    return;
+  state.ExpectsRecord = true;
+  state.CallInFlight = false;
+  state.RecordKnown = false;
+  // Within its lease nobody else can have claimed the duty, whatever was lost.
+  if (now >= state.HeldUntil)
+    state.HeldToken = 0;
+  state.HeldUntil = std::min(state.HeldUntil, now);
+  state.NextReadAt = std::min(state.NextReadAt, now);
+}
+
+void noteToken(LeaseState &state, int64_t token) {
+  state.HighestToken = std::max(state.HighestToken, token);
+  if (isHolder(state) && state.HeldToken < state.HighestToken) {
+    state.HeldToken = 0;
+    state.RecordKnown = false;
+  }
+}
+
 void noteStoreCall(LeaseState &state, bool answered, TimePoint now) {
   bool wasUnreachable = std::exchange(state.StoreUnreachable, !answered);
   if (wasUnreachable && answered)
@@ -208,12 +284,14 @@
     state.OrdersFrom = firstOrderTime(state, record, policy, sentAt);
   state.RecordKnown = true;
   state.Newest = record;
+  state.HighestToken = std::max(state.HighestToken, record.Token);
   state.End = end;
   state.RenewedBy = state.ReadAt = state.HolderHeardAt = state.LearnedAt =
       sentAt;
   state.HeldToken = record.Released ? 0 : record.Token;
   state.HandingOver = false;
   state.HeldUntil = sentAt + policy.Lease - policy.Margin;
+  state.ActedUntil = state.HeldUntil;
 }
 
 void noteFailed(LeaseState &state, const Policy &policy, TimePoint now) {
@@ -225,12 +303,13 @@
 
 void noteHeartbeat(LeaseState &state, const Record &record, uint64_t end,
                    Milliseconds age, TimePoint now) {
-  bool older = state.Newest && record.Token < state.Newest->Token;
+  bool older = record.Token < state.HighestToken;
   if (older || (isHolder(state) && record.Token <= state.HeldToken))
     return;
   state.HolderHeardAt = now;
   state.ReadAt = std::max(state.ReadAt, now - age);
-  if (state.RecordKnown && state.Newest && end < state.End)
+  if (record.InEra < state.InEra ||
+      (state.RecordKnown && state.Newest && end < state.End))
     return;
   adoptRecord(state, record, end, now - age);
   state.RenewedBy = std::max(state.RenewedBy, now - age);
--- a/src/libs/duty/duty.h
+++ b/src/libs/duty/duty.h
@@ -7,6 +7,7 @@
 /// may claim, renew and exercise the duty; a conditional append to the
 /// platform's store decides between concurrent claims. See Gray and Cheriton,
 /// "Leases" (1989).
+#include "storeera/storeera.h"
 #include "utils/clock.h"
 
 #include <cstdint>
@@ -43,6 +44,8 @@
   std::vector<FormerHolder> Former{};
   /// Opaque data that the holder passes to its successors.
   std::string Notes{};
+  /// Era of the store in which it was written.
+  StoreEra::Era InEra{};
 };
 
 struct Policy {
@@ -78,6 +81,10 @@
   /// past its lease until it learns of the recovery, which takes at most
   /// StatusLifetime and one heartbeat.
   Milliseconds OutageCooldown{1250};
+  /// Added to the token by a claim that follows a record of an earlier era:
+  /// more than can have been claimed in the seconds that a copy of the store
+  /// lacks, as each claim needs an append.
+  int64_t TokenStepOfEra = 1000;
 };
 
 /// What this VM knows about the duty, and its own part in it.
@@ -94,6 +101,14 @@
   std::optional<Record> Newest;
   /// Whether the store has been read since the last failed call.
   bool RecordKnown = false;
+  /// Highest era of the store that is known.
+  StoreEra::Era InEra;
+  /// The fleet has run before, or the store has come back from a copy: without
+  /// a record, the duty may still have been claimed.
+  bool ExpectsRecord = false;
+  /// Highest token that is known. The newest record may have a lower one after
+  /// the store has come back from an older copy.
+  int64_t HighestToken = 0;
   /// Offset behind the newest record in the store's topic.
   uint64_t End = 0;
   /// Upper bound of the time of the last renewal: when this VM first knew End.
@@ -106,6 +121,8 @@
   /// Fencing token under which this VM holds the duty; 0 if it does not.
   int64_t HeldToken = 0;
   TimePoint HeldUntil{};
+  /// End of the newest lease of this process, also of one that it has lost.
+  std::optional<TimePoint> ActedUntil;
   /// Earliest times of the next read and the next append.
   TimePoint NextReadAt{};
   TimePoint NextAppendAt{};
@@ -164,11 +181,19 @@
 /// again.
 void noteFailed(LeaseState &state, const Policy &policy, TimePoint now);
 
+/// Handles a higher era of the store: it has come back from an older copy.
+/// Nothing may be appended to, or ordered by, what was known of its record
+/// before. A call in flight counts as ended; its answer must be dropped.
+void noteStoreEra(LeaseState &state, const StoreEra::Era &era, TimePoint now);
+
+/// Another gateway has named a token. A holder with a lower one loses the duty.
+void noteToken(LeaseState &state, int64_t token);
+
 /// Tracks the reachability of the store by the outcome of any call to it.
 void noteStoreCall(LeaseState &state, bool answered, TimePoint now);
 
 /// Handles a heartbeat of the holder: the topic ends at `end` and its record is
-/// `age` old.
+/// `age` old. The offset counts only if the record is of the known era.
 void noteHeartbeat(LeaseState &state, const Record &record, uint64_t end,
                    Milliseconds age, TimePoint now);
 
--- a/src/libs/fleetlink/fleetlink.cpp
+++ b/src/libs/fleetlink/fleetlink.cpp
@@ -92,7 +92,7 @@
           it.TableBaseRevision, it.TableRevision, it.TableComplete,
           it.TableBaseFromStore, it.EncodedEntries, it.Loads, it.Quarantined,
           it.WatchedParts, it.LimitsRevision, it.EndpointLimits, it.StoreEra,
-          it.ConfigurationVersion, it.ConfigurationAddress);
+          it.RecordEra, it.ConfigurationVersion, it.ConfigurationAddress);
 }
 template <class Archive> void serialize(Archive &archive, RecordState &it) {
   archive(it.Next, it.Digest, it.InEra);
--- a/src/libs/fleetlink/fleetlink.h
+++ b/src/libs/fleetlink/fleetlink.h
@@ -286,6 +286,8 @@
   int64_t Token = 0;
   /// End of the duty's topic behind the holder's record, and the record's age.
   uint64_t RecordEnd = 0;
+  /// Era of the store in which the record was written.
+  StoreEra::Era RecordEra;
   uint32_t RecordAgeMs = 0;
   bool Released = false;
   /// Former holders, with their ages as of now.
--- a/src/libs/gateway/dutykeeper.cpp
+++ b/src/libs/gateway/dutykeeper.cpp
@@ -19,10 +19,11 @@
 
 DutyKeeper::DutyKeeper(asio::io_context &loop, const Store &store,
                        std::string self, std::string address,
-                       Utils::Milliseconds reacquirePause)
+                       Utils::Milliseconds reacquirePause, bool firstStart)
     : Source(store), StepTimer(loop), Random(std::random_device{}()) {
   Policy.ReacquirePause = reacquirePause;
   Policy.FormerHolderRetention = RetentionFactor * reacquirePause;
+  State.ExpectsRecord = !firstStart;
   State.Self = std::move(self);
   State.Address = std::move(address);
 }
@@ -52,6 +53,21 @@
   noteChange();
 }
 
+void DutyKeeper::noteStoreEra(const StoreEra::Era &era) {
+  bool wasKnown = State.InEra.isKnown();
+  Duty::noteStoreEra(State, era, Utils::BootClock::now());
+  if (!wasKnown)
+    return;
+  ++CallNumber;
+  noteChange();
+  step();
+}
+
+void DutyKeeper::noteToken(int64_t token) {
+  Duty::noteToken(State, token);
+  noteChange();
+}
+
 void DutyKeeper::noteActingPastLease(int64_t token) {
   Duty::noteActingPastLease(State, Policy, token, Utils::BootClock::now());
 }
@@ -111,31 +127,46 @@
   append(next);
 }
 
+namespace {
+
+Utils::Outcome<Duty::Record> decodeRecord(const std::string &bytes) {
+  auto record = Codec::decode<Duty::Record>(bytes);
+  if (record)
+    return record;
+  auto earlier = Codec::decode<Duty::EarlierRecord>(bytes);
+  return earlier ? Utils::Outcome<Duty::Record>(earlier->Value) : record;
+}
+
+} // namespace
+
 void DutyKeeper::read() {
   Utils::TimePoint sentAt = Utils::BootClock::now();
-  Source.ReadDuty(sentAt + StoreTimeout, [this](auto result) {
-    Utils::TimePoint now = Utils::BootClock::now();
-    if (!result) {
-      Duty::noteFailed(State, Policy, now);
-      noteChange();
-      return scheduleStep();
-    }
-    std::optional<Duty::Record> newest;
-    if (result->Value) {
-      auto record = Codec::decode<Duty::Record>(*result->Value);
-      if (record)
-        newest = std::move(record.value());
-      else
-        Utils::Event("duty_record_unreadable")
-            .with("error", record.error().What)
-            .error();
-    }
-    Duty::noteRead(State, std::move(newest), result->End, now);
-    noteChange();
-    if (OnRead)
-      OnRead();
-    scheduleStep();
-  });
+  Source.ReadDuty(sentAt + StoreTimeout,
+                  [this, number = ++CallNumber](auto result) {
+                    if (number != CallNumber)
+                      return;
+                    Utils::TimePoint now = Utils::BootClock::now();
+                    if (!result) {
+                      Duty::noteFailed(State, Policy, now);
+                      noteChange();
+                      return scheduleStep();
+                    }
+                    std::optional<Duty::Record> newest;
+                    if (result->Value) {
+                      auto record = decodeRecord(*result->Value);
+                      if (record)
+                        newest = std::move(record.value());
+                      else
+                        Utils::Event("duty_record_unreadable")
+                            .with("error", record.error().What)
+                            .error();
+                    }
+                    Duty::noteRead(State, std::move(newest), result->End, now);
+                    noteChange();
+                    if (OnRead)
+                      OnRead();
+                    scheduleStep();
+                  });
 }
 
 void DutyKeeper::append(Duty::Step step) {
@@ -143,17 +174,20 @@
   if (step != Duty::Step::Claim && MakeNotes)
     State.Notes = MakeNotes();
   Duty::Record record = Duty::recordFor(State, Policy, step, sentAt);
-  Source.AppendDuty(
-      State.End, Codec::encode(record), sentAt + StoreTimeout,
-      [this, record, sentAt](const Utils::Outcome<uint64_t> &end) {
-        Utils::TimePoint now = Utils::BootClock::now();
-        if (end)
-          Duty::noteAccepted(State, Policy, record, *end, sentAt, now);
-        else
-          Duty::noteFailed(State, Policy, now);
-        noteChange();
-        scheduleStep();
-      });
+  Source.AppendDuty(State.End, Codec::encode(record), sentAt + StoreTimeout,
+                    [this, record, sentAt, number = ++CallNumber](
+                        const Utils::Outcome<uint64_t> &end) {
+                      if (number != CallNumber)
+                        return;
+                      Utils::TimePoint now = Utils::BootClock::now();
+                      if (end)
+                        Duty::noteAccepted(State, Policy, record, *end, sentAt,
+                                           now);
+                      else
+                        Duty::noteFailed(State, Policy, now);
+                      noteChange();
+                      scheduleStep();
+                    });
 }
 
 void DutyKeeper::noteChange() {
--- a/src/libs/gateway/dutykeeper.h
+++ b/src/libs/gateway/dutykeeper.h
@@ -15,7 +15,8 @@
 class DutyKeeper {
 public:
   DutyKeeper(asio::io_context &loop, const Store &store, std::string self,
-             std::string address, Utils::Milliseconds reacquirePause);
+             std::string address, Utils::Milliseconds reacquirePause,
+             bool firstStart);
 
   void start();
   /// Releases the duty now and never claims it again.
@@ -24,6 +25,12 @@
   /// `end` behind it.
   void noteHeartbeat(const Duty::Record &record, uint64_t end,
                      Utils::Milliseconds age);
+  /// The store has named this era, higher than the one before: reads the record
+  /// again before anything else. The first known era only names that of what
+  /// is known.
+  void noteStoreEra(const StoreEra::Era &era);
+  /// Another gateway has named a token of the duty.
+  void noteToken(int64_t token);
   /// The holder with that token continues past the end of its lease.
   void noteActingPastLease(int64_t token);
   /// A store call of another component was answered or has failed.
@@ -69,6 +76,8 @@
   HttpIo::Timer StepTimer;
   std::minstd_rand Random;
   bool WasHeld = false;
+  /// Number of the step's call in flight; answers to earlier ones are dropped.
+  uint64_t CallNumber = 0;
   bool Probing = false;
   Utils::TimePoint NextProbeAt{};
 };
--- a/src/libs/gateway/fleetagent.cpp
+++ b/src/libs/gateway/fleetagent.cpp
@@ -69,7 +69,7 @@
       Self(Ctx.Settings.VmName, Address, randomNumber(),
            Ctx.Settings.FirstStart),
       Duty(Ctx.Loop, Ctx.PlatformStore, Ctx.Settings.VmName, Address,
-           Ctx.Settings.DutyHandover),
+           Ctx.Settings.DutyHandover, Ctx.Settings.FirstStart),
       Link(Ctx.Loop), ReportTimer(Ctx.Loop), TokenTimer(Ctx.Loop),
       Strength(computeStrength(Ctx.Settings)), Incarnation(randomNumber()),
       OperatorsRecords(Ctx.Settings.LinkMbps), TransferTimer(Ctx.Loop) {
@@ -81,6 +81,7 @@
   Duty.OnStoreCall = [this](bool answered) { noteStoreCall(answered); };
   Link.OnReport = [this](const FleetLink::Report &report) {
     Ctx.OnStoreEra(report.StoreEra);
+    Duty.noteToken(report.Token);
     if (Holder)
       Holder->handleReport(report);
   };
@@ -177,6 +178,8 @@
   out.Former = Duty.formerHolders();
   out.StoreCallFailed = Duty.lease().StoreUnreachable;
   out.RecordEnd = Duty.lease().End;
+  if (Duty.lease().Newest)
+    out.RecordEra = Duty.lease().Newest->InEra;
   out.RecordAgeMs = uint32_t(std::max<int64_t>(
       0, Utils::msBetween(Duty.lease().RenewedBy, Utils::BootClock::now())));
   if (address != Address)
@@ -193,8 +196,14 @@
   Utils::TimePoint now = Utils::BootClock::now();
   if (heartbeat.Token >= Self.token())
     LastHolderAddress = heartbeat.Address;
-  Duty.noteHeartbeat({heartbeat.Holder, heartbeat.Address, heartbeat.Token,
-                      heartbeat.Released, heartbeat.Members, heartbeat.Former},
+  Duty.noteHeartbeat({heartbeat.Holder,
+                      heartbeat.Address,
+                      heartbeat.Token,
+                      heartbeat.Released,
+                      heartbeat.Members,
+                      heartbeat.Former,
+                      {},
+                      heartbeat.RecordEra},
                      heartbeat.RecordEnd, milliseconds(heartbeat.RecordAgeMs));
   if (heartbeat.ActsBeyondLease)
     Duty.noteActingPastLease(heartbeat.Token);
--- a/src/libs/gateway/fleetagent.h
+++ b/src/libs/gateway/fleetagent.h
@@ -76,6 +76,8 @@
   void leave();
 
   FleetMember &member() { return Self; }
+  /// The store has come back in this era.
+  void noteStoreEra(const StoreEra::Era &era) { Duty.noteStoreEra(era); }
   /// Offset up to which the topic of the duty is known.
   uint64_t dutyEnd() const { return Duty.lease().End; }
   bool isHolder() const { return Holder != nullptr; }
--- a/src/libs/gateway/processupdates.cpp
+++ b/src/libs/gateway/processupdates.cpp
@@ -79,6 +79,8 @@
   EndpointFeed.startEra(era, now + EndpointReturnTime,
                         State.Coordination.isHolder() ||
                             EndpointFeed.isComplete());
+  uint64_t dutyEnd = State.Coordination.dutyEnd();
+  State.Coordination.noteStoreEra(era);
   if (!before.isKnown())
     return awaitFleetConfiguration();
   Utils::Event("store_era_changed")
@@ -86,7 +88,7 @@
       .with("era", StoreEra::textOf(era))
       .with("configuration_next", configurationNext)
       .with("endpoints_next", endpointsNext)
-      .with("duty_end", State.Coordination.dutyEnd())
+      .with("duty_end", dutyEnd)
       .warning();
   State.MetricsRegistry.add("hickory_gateway_store_era_changes_total", "");
 }
--- a/tests/auto/duty/dutymodel.cpp
+++ b/tests/auto/duty/dutymodel.cpp
@@ -80,6 +80,7 @@
     vm.Incarnation = incarnation;
     vm.State.Self = std::string(1, char('a' + i));
     vm.NeedsStart = false;
+    vm.State.ExpectsRecord = Now > Start;
     // Weaker VMs let stronger ones claim first.
     vm.State.ClaimDelay = Milliseconds(300 * int64_t(i));
   }
@@ -95,6 +96,7 @@
           copy != Copies.end() && Now == Start + it.At + it.Length) {
         Newest = copy->second.first;
         End = copy->second.second;
+        ++*Era.Number;
       }
     }
   }
@@ -150,12 +152,18 @@
     bool storeUnreachable = isActive(FaultKind::StoreUnreachable, i);
     bool delayed = isAppend && isActive(FaultKind::DelayedWrites, i);
     bool answerLost = isActive(FaultKind::ResponsesLost, i);
+    auto era = std::make_shared<StoreEra::Era>();
     if (!storeUnreachable)
-      schedule(delayed ? WriteDelay : Tick, effect);
+      schedule(delayed ? WriteDelay : Tick, [this, effect, era] {
+        effect();
+        *era = Era;
+      });
     if (!storeUnreachable && !delayed && !answerLost)
-      deliver(i, 2 * Tick, [this, i, call, answer] {
-        if (std::exchange(Vms[i].OpenCall, 0) != call)
+      deliver(i, 2 * Tick, [this, i, call, answer, era] {
+        noteStoreEra(i, *era);
+        if (Vms[i].OpenCall != call)
           return;
+        Vms[i].OpenCall = 0;
         answer();
       });
     deliver(i, CallTimeout, [this, i, call] {
@@ -166,6 +174,14 @@
     });
   }
 
+  /// The store, or another VM, has named the era to this VM.
+  void noteStoreEra(size_t i, const StoreEra::Era &era) {
+    Vm &vm = Vms[i];
+    if (vm.State.InEra.isKnown() && vm.State.InEra < era)
+      vm.OpenCall = 0;
+    Duty::noteStoreEra(vm.State, era, Now);
+  }
+
   /// Runs `action` at the VM after `pause`, or once the VM is resumed.
   void deliver(size_t i, Milliseconds pause, std::function<void()> action) {
     uint64_t incarnation = Vms[i].Incarnation;
@@ -187,6 +203,8 @@
                     !isActive(FaultKind::ResponsesLost, i);
     deliver(i, answered ? 2 * Tick : CallTimeout, [this, i, answered] {
       Vms[i].NextPollAt = Now + PollInterval;
+      if (answered)
+        noteStoreEra(i, Era);
       Duty::noteStoreCall(Vms[i].State, answered, Now);
     });
   }
@@ -271,7 +289,8 @@
         Duty::mayOrder(vm.State, isStoreUnreachableForAll(i), Now);
     deliver(to, Tick,
             [this, i, to, record, age, actsPastLease, end = vm.State.End,
-             stamp = Now] {
+             stamp = Now, era = vm.State.InEra] {
+              noteStoreEra(to, era);
               Vms[to].HeartbeatFrom = i;
               Vms[to].HeartbeatSentAt = stamp;
               Vms[to].HeartbeatReceivedAt = Now;
@@ -289,7 +308,13 @@
         Vms[i].HeartbeatSentAt + (Now - Vms[i].HeartbeatReceivedAt);
     Duty::GatewayStatus status{reportedAt, Vms[i].State.StoreUnreachable,
                                Vms[i].State.Resigning};
-    deliver(to, Tick, [this, i, to, status] { Vms[to].Statuses[i] = status; });
+    deliver(to, Tick,
+            [this, i, to, status, era = Vms[i].State.InEra,
+             token = Vms[i].State.HighestToken] {
+              noteStoreEra(to, era);
+              Duty::noteToken(Vms[to].State, token);
+              Vms[to].Statuses[i] = status;
+            });
   }
 
   void issueOrder(size_t i) {
@@ -338,6 +363,7 @@
   uint64_t Calls = 0;
   std::optional<Duty::Record> Newest;
   uint64_t End = 0;
+  StoreEra::Era Era{1};
   std::map<size_t, std::pair<std::optional<Duty::Record>, uint64_t>> Copies;
   std::map<int64_t, size_t> TokenOwners;
   int64_t HighestToken = 0;
--- a/tests/auto/storeera/storeerafixture.cpp
+++ b/tests/auto/storeera/storeerafixture.cpp
@@ -7,6 +7,7 @@
 #include <asio/write.hpp>
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 using namespace std::chrono_literals;
 using nlohmann::json;
@@ -30,6 +31,7 @@
   it.Settings.VmName = name;
   it.Settings.FailureDomain = "z";
   it.Settings.RetrySlack = 100;
+  it.Settings.FirstStart = !std::exchange(HasStarted, true);
   it.Settings.IpAddress = "127.0.0.1";
   it.Settings.CallerAddress = "127.0.0.1:" + std::to_string(freePort());
   it.Settings.ReadinessAddress = "127.0.0.1:" + std::to_string(freePort());
--- a/tests/auto/storeera/storeerafixture.h
+++ b/tests/auto/storeera/storeerafixture.h
@@ -64,6 +64,7 @@
   std::map<std::string, ScriptedEndpoint> Endpoints;
   std::map<std::string, int> Sequences;
   int NextId = 0;
+  bool HasStarted = false;
 };
 
 #endif // TESTS_STOREERAFIXTURE_H
--- a/tests/auto/storeera/tst_storeera.cpp
+++ b/tests/auto/storeera/tst_storeera.cpp
@@ -1,5 +1,8 @@
 #include "storeerafixture.h"
 
+#include "codec/codec.h"
+#include "duty/serialize.h"
+
 #include <algorithm>
 #include <doctest/doctest.h>
 
@@ -38,6 +41,17 @@
   StoreStandIn::Topics Copy;
 };
 
+/// Holders of the duty by token, as the store has them.
+std::map<int64_t, std::set<std::string>>
+holdersByToken(const StoreStandIn::Topics &topics) {
+  std::map<int64_t, std::set<std::string>> out;
+  if (auto topic = topics.find("keyed.duty"); topic != topics.end())
+    for (const auto &it : topic->second)
+      if (auto record = Codec::decode<Duty::Record>(it.Value.value_or("")))
+        out[record->Token].insert(record->Holder);
+  return out;
+}
+
 bool contains(const std::vector<unsigned> &statuses, unsigned status) {
   return std::find(statuses.begin(), statuses.end(), status) != statuses.end();
 }
@@ -183,3 +197,32 @@
   writeEntry("i-2");
   awaitMetric(gateway, "hickory_gateway_endpoints", 2);
 }
+
+// The copy lacks the first claim: the next one took its token again.
+TEST_CASE_FIXTURE(DrillFixture,
+                  "store that comes back older, gateway that starts then and "
+                  "claims the duty, its token is above that of the holder") {
+  startReady("a");
+  awaitMetric(holder(), "hickory_gateway_holds_duty", 1);
+  auto before = holdersByToken(Store.copy());
+  REQUIRE_FALSE(before.empty());
+  Store.comeBackFrom(Copy);
+  kill("a");
+  EraGateway &late = start("b");
+  awaitMetric(late, "hickory_gateway_holds_duty", 1);
+  auto after = holdersByToken(Store.copy());
+  REQUIRE_FALSE(after.empty());
+  CHECK(after.begin()->first > before.rbegin()->first);
+}
+
+TEST_CASE_FIXTURE(DrillFixture,
+                  "store that comes back older, holder within its lease, it "
+                  "writes its record again and keeps its token") {
+  startReady("a");
+  awaitMetric(holder(), "hickory_gateway_holds_duty", 1);
+  auto before = holdersByToken(Store.copy());
+  Store.comeBackFrom(Copy);
+  runUntil([&] { return Store.endOf("keyed.duty") > 0; });
+  CHECK(holdersByToken(Store.copy()) == before);
+  CHECK(metric(holder(), "hickory_gateway_holds_duty") == 1);
+}
