Trust no key longer than its bound after an unreadable configuration

A record that cannot be decoded as a whole may withdraw a key. The keys now count as read when the first such record came, and as never read by a gateway that starts with it; only a version above the rejected one ends that. Public routes are served on.

--- a/src/libs/gateway/process.cpp
+++ b/src/libs/gateway/process.cpp
@@ -323,6 +323,8 @@
 void Process::onCallerRequest(const HttpIo::ServerConnectionRef &caller,
                               Http::Request request) {
   State.KeysReadAt = ConfigurationFeed.completeUntil();
+  if (auto since = State.FleetView.behindSince())
+    State.KeysReadAt = std::min(State.KeysReadAt, *since);
   State.KeysTrustedUntil =
       State.KeysReadAt + State.Settings.KeyRevocation - KeyExpiryMargin;
   std::make_shared<Call>(State, caller, std::move(request))->start();
--- a/src/libs/gateway/view.cpp
+++ b/src/libs/gateway/view.cpp
@@ -58,7 +58,7 @@
   bool changed = false;
   for (const TopicRecord &it : records) {
     if (it.Key == Source.ConfigurationKey && it.Value)
-      applyConfiguration(*it.Value);
+      applyConfiguration(*it.Value, now);
     auto domain = Source.EvacuatedDomain(it.Key);
     if (!domain)
       continue;
@@ -109,15 +109,15 @@
     Utils::Event("evacuation_in_force").with("domain", it).info();
 }
 
-void View::applyConfiguration(const std::string &text) {
+void View::applyConfiguration(const std::string &text, Utils::TimePoint now) {
   auto decoded = Source.DecodeConfiguration(text);
-  if (!decoded) {
-    return rejectConfiguration(text, decoded.error());
-  }
+  if (!decoded)
+    return rejectConfiguration(text, decoded.error(), now);
   uint64_t version = (*decoded)->Version;
   if (Current && version < Current->Version)
     return;
-  Behind = false;
+  if (version > RejectedVersion)
+    BehindSince.reset();
   if (Current && version == Current->Version)
     return;
   logLimitChanges(**decoded, Current.get());
@@ -135,9 +135,15 @@
 }
 
 void View::rejectConfiguration(const std::string &text,
-                               const Utils::Failure &failure) {
+                               const Utils::Failure &failure,
+                               Utils::TimePoint now) {
   auto version = Source.DecodeConfigurationVersion(text);
-  Behind = Behind || !version || !Current || *version > Current->Version;
+  bool isNewer = !version || !Current || *version > Current->Version;
+  // A gateway that starts with such a record does not know since when the
+  // others have had it.
+  if (isNewer && !BehindSince)
+    BehindSince = Current ? now : Utils::TimePoint{};
+  RejectedVersion = std::max(RejectedVersion, version.value_or(0));
   Utils::Event event("configuration_unreadable");
   event.with("error", failure.What)
       .with("bytes", text.size())
--- a/src/libs/gateway/view.h
+++ b/src/libs/gateway/view.h
@@ -44,7 +44,9 @@
   const Fleet::ConfigurationRef &configuration() const { return Current; }
   /// Whether the operators have written a newer configuration that could not be
   /// decoded: what the one in force does not have may exist.
-  bool isBehind() const { return Behind; }
+  bool isBehind() const { return BehindSince.has_value(); }
+  /// Since when; the keys that such a configuration withdraws are not known.
+  std::optional<Utils::TimePoint> behindSince() const { return BehindSince; }
   /// Its text as the operators wrote it; empty before the first.
   const std::string &configurationText() const { return CurrentText; }
   const Fleet::EndpointTable &endpoints() const { return Endpoints; }
@@ -60,9 +62,9 @@
   std::function<void()> OnEvacuations;
 
 private:
-  void applyConfiguration(const std::string &text);
+  void applyConfiguration(const std::string &text, Utils::TimePoint now);
   void rejectConfiguration(const std::string &text,
-                           const Utils::Failure &failure);
+                           const Utils::Failure &failure, Utils::TimePoint now);
   /// Return whether the evacuations have changed.
   bool applyEvacuation(const std::string &domain, const TopicRecord &record,
                        std::optional<Utils::TimePoint> absentAt,
@@ -72,7 +74,9 @@
 
   const Store &Source;
   Fleet::ConfigurationRef Current;
-  bool Behind = false;
+  std::optional<Utils::TimePoint> BehindSince;
+  /// Newest version that could not be decoded.
+  uint64_t RejectedVersion = 0;
   std::string CurrentText;
   Fleet::EndpointTable Endpoints;
   Fleet::Evacuations Evacuations;
