--- a/src/libs/explain/gatewaycauses.cpp
+++ b/src/libs/explain/gatewaycauses.cpp
@@ -174,6 +174,9 @@
 constexpr char ConfigurationUnreadable[] =
     "the gateway could not decode a newer configuration, which may have its "
     "route or key";
+constexpr char ConfigurationOutOfDate[] =
+    "no route of the current configuration matches it, and the gateway could "
+    "not read the configuration for too long to know that there is none";
 constexpr char RouteUnreadable[] =
     "it may belong to a route of the configuration that the gateway could not "
     "decode";
@@ -208,6 +211,7 @@
     {"malformed", fixedCause<Malformed>},
     {"no_configuration", fixedCause<NoConfiguration>},
     {"configuration_unreadable", fixedCause<ConfigurationUnreadable>},
+    {"configuration_out_of_date", fixedCause<ConfigurationOutOfDate>},
     {"route_unreadable", fixedCause<RouteUnreadable>},
     {"service_unreadable", fixedCause<ServiceUnreadable>},
     {"team_unreadable", fixedCause<TeamUnreadable>},
--- a/src/libs/gateway/call.cpp
+++ b/src/libs/gateway/call.cpp
@@ -122,10 +122,13 @@
 }
 
 /// Refuses a call with what the configuration does not have, as not run if a
-/// newer one that cannot be decoded may have it.
+/// newer one that cannot be decoded, or could not be read for as long as keys
+/// are trusted, may have it.
 void Call::refuseUnknown(unsigned status, std::string_view reason) {
   if (State.FleetView.isBehind())
     return refuse(Unavailable, "configuration_unreadable", DefaultRetryAfter);
+  if (ArrivedAt > State.KeysTrustedUntil)
+    return refuse(Unavailable, "configuration_out_of_date", DefaultRetryAfter);
   refuse(status, reason);
 }
 
--- a/src/libs/gateway/store.h
+++ b/src/libs/gateway/store.h
@@ -54,7 +54,8 @@
 /// The platform's metadata store. Every call invokes its callback exactly once,
 /// asynchronously on the loop. Failures: Unavailable (not done), UnknownResult
 /// (possibly done), OutOfRange (the records were deleted; read all again),
-/// Conflict, Corrupt.
+/// Conflict, Corrupt, ResourceExhausted (the answer is too large; possibly
+/// done).
 struct Store {
   using ReadDone = std::function<void(Utils::Outcome<TopicRead>)>;
   using PageDone = std::function<void(Utils::Outcome<TopicPage>)>;
--- a/src/libs/gateway/topicfeed.cpp
+++ b/src/libs/gateway/topicfeed.cpp
@@ -116,8 +116,12 @@
 void TopicFeed::onFailure(const Utils::Failure &failure) {
   bool recordsDeleted = failure.Code == Utils::Errc::OutOfRange;
   OnStoreCall(recordsDeleted);
-  if (recordsDeleted)
-    restartSnapshot(); // Records were deleted before they were read.
+  // Records were deleted before they were read, or the answer that holds them
+  // cannot be taken in and would be the same again.
+  bool isUnusable = failure.Code == Utils::Errc::Corrupt ||
+                    failure.Code == Utils::Errc::ResourceExhausted;
+  if (recordsDeleted || (isUnusable && Complete))
+    restartSnapshot();
   if (Failures++ == 0)
     Utils::Event("dependency_lost")
         .with("dependency", topicLabel(Config.Source))
--- a/src/libs/httpio/fetch.cpp
+++ b/src/libs/httpio/fetch.cpp
@@ -49,7 +49,7 @@
       return;
     DeadlineTimer.cancel();
     Connection->cancel();
-    complete(Utils::failure(Errc::UnknownResult,
+    complete(Utils::failure(Errc::ResourceExhausted,
                             Peer + ": response exceeds " +
                                 std::to_string(MaxFetchBytes) + " bytes"));
   }
--- a/src/libs/httpio/fetch.h
+++ b/src/libs/httpio/fetch.h
@@ -26,7 +26,8 @@
 /// Sends a request to `peer`, an IP:PORT address, and passes the complete
 /// response to `done`. Fails with InvalidArgument if the address is invalid,
 /// with Unavailable if nothing was sent, and with UnknownResult if the request
-/// may have been processed, also when `deadline` passes first.
+/// may have been processed, also when `deadline` passes first. Fails with
+/// ResourceExhausted if the response exceeds MaxFetchBytes.
 void fetch(ClientPool &pool, asio::io_context &loop, const std::string &peer,
            const Http::Request &request, Utils::TimePoint deadline,
            FetchCallback done, ConnectionUse use = ConnectionUse::Pooled);
--- a/tests/auto/configvariants/tst_configvariants.cpp
+++ b/tests/auto/configvariants/tst_configvariants.cpp
@@ -191,6 +191,18 @@
   checkServed();
 }
 
+// No answer of the store that holds the record can be taken in: 404 would be by
+// a version of unknown age.
+TEST_CASE_FIXTURE(VariantFixture,
+                  "added route, the record exceeds what gateways read, it is "
+                  "refused as not run") {
+  Fleet.configure(largeConfiguration(2, 9 * Megabyte));
+  CHECK(Fleet.awaitStatus(503, {"/added/x"}, Timeout));
+  Fleet.configure(GatewayFleet::deskWithRoute(3));
+  checkServed();
+  CHECK(Fleet.awaitStatus(404, {"/never/x"}, Timeout));
+}
+
 TEST_CASE_FIXTURE(VariantFixture,
                   "added route, the host is written in other forms") {
   Fleet.configure(GatewayFleet::deskWithRoute(2));
--- a/tests/auto/topicfeed/tst_topicfeed.cpp
+++ b/tests/auto/topicfeed/tst_topicfeed.cpp
@@ -39,6 +39,8 @@
 
   /// Answers with one record at a time up to LogEnd.
   void answerLogRead(uint64_t from, const Store::ReadDone &done) const {
+    if (from == FailingOffset)
+      return done(Utils::failure(LogFailure, "cannot be taken in"));
     if (from >= LogEnd)
       return done(TopicRead{from, {}, from});
     done(TopicRead{from + 1, {{"k", "value"}}, LogEnd});
@@ -61,6 +63,8 @@
   Utils::Milliseconds MaxWait{0};
   std::vector<std::vector<TopicRecord>> Snapshots;
   uint64_t LogEnd = 0;
+  std::optional<uint64_t> FailingOffset;
+  Utils::Errc LogFailure = Utils::Errc::Corrupt;
   /// Until when the feed was complete as each log read was applied.
   std::vector<Utils::TimePoint> CompleteAtLogRead;
   TopicFeed Feed{Loop,
@@ -177,3 +181,25 @@
   CHECK(CompleteAtLogRead[2] > CompleteAtLogRead[1]);
   CHECK(Feed.next() == LogEnd);
 }
+
+// Issue 50: the same read was repeated for ever, and later records were lost.
+TEST_CASE_FIXTURE(PagedTopic,
+                  "feed whose read returns what cannot be taken in reads a "
+                  "snapshot, and continues from its end") {
+  SUBCASE("since it cannot be decoded") { LogFailure = Utils::Errc::Corrupt; }
+  SUBCASE("since it is too large") {
+    LogFailure = Utils::Errc::ResourceExhausted;
+  }
+  FailingOffset = End;
+  runUntil([&] { return ReadFrom > *FailingOffset; });
+  CHECK(Snapshots.size() == 2);
+}
+
+TEST_CASE_FIXTURE(PagedTopic, "feed whose read fails repeats it") {
+  LogFailure = Utils::Errc::Unavailable;
+  FailingOffset = End;
+  int reads = 0;
+  runUntil([&] { return ReadFrom > 0 && ++reads > 20; });
+  CHECK(Snapshots.size() == 1);
+  CHECK(ReadFrom == *FailingOffset);
+}
