--- a/src/libs/gateway/call.cpp
+++ b/src/libs/gateway/call.cpp
@@ -127,13 +127,15 @@
 }
 
 /// Refuses a call with what the configuration does not have, as not run if a
-/// newer one may have it: one that cannot be decoded, or that this gateway has
-/// not received.
+/// newer one may have it: one that cannot be decoded, that this gateway has not
+/// received, or that it could not read for as long as keys are trusted.
 void Call::refuseUnknown(unsigned status, std::string_view reason) {
   if (State.FleetView.isBehind())
     return refuse(Unavailable, "configuration_unreadable", DefaultRetryAfter);
   if (State.mayLackConfiguration())
     return refuse(Unavailable, "configuration_outdated", DefaultRetryAfter);
+  if (ArrivedAt > State.KeysTrustedUntil)
+    return refuse(Unavailable, "configuration_out_of_date", DefaultRetryAfter);
   refuse(status, reason);
 }
 
