--- a/src/libs/gateway/view.h
+++ b/src/libs/gateway/view.h
@@ -44,11 +44,16 @@
   const Fleet::ConfigurationRef &configuration() const { return Current; }
   /// Its text as the operators wrote it; empty before the first.
   const std::string &configurationText() const { return CurrentText; }
+  /// Whether the operators have written a newer configuration that could not be
+  /// decoded: what the one in force does not have may exist.
+  bool isBehind() const { return Behind; }
   const Fleet::EndpointTable &endpoints() const { return Endpoints; }
   const Fleet::Evacuations &evacuations() const { return Evacuations; }
 
   /// Called after a new configuration has come into force.
   std::function<void()> OnConfiguration;
+  /// Called after a record of a configuration could not be decoded.
+  std::function<void()> OnConfigurationRejected;
   /// Called after the endpoint with that id has changed or was removed.
   std::function<void(const std::string &)> OnEndpoint;
   /// Called after an evacuation was requested or withdrawn.
@@ -56,6 +61,8 @@
 
 private:
   void applyConfiguration(const std::string &text);
+  void rejectConfiguration(const std::string &text,
+                           const Utils::Failure &failure);
   /// Return whether the evacuations have changed.
   bool applyEvacuation(const std::string &domain, const TopicRecord &record,
                        std::optional<Utils::TimePoint> absentAt,
@@ -66,6 +73,7 @@
   const Store &Source;
   Fleet::ConfigurationRef Current;
   std::string CurrentText;
+  bool Behind = false;
   Fleet::EndpointTable Endpoints;
   Fleet::Evacuations Evacuations;
 };
