--- a/src/libs/explain/gatewaycauses.cpp
+++ b/src/libs/explain/gatewaycauses.cpp
@@ -171,9 +171,15 @@
     "the current configuration does not contain its key";
 constexpr char NoConfiguration[] =
     "the gateway had not read a configuration yet";
+constexpr char NewerConfiguration[] =
+    "another gateway may have a newer configuration in force, which this one "
+    "did not have yet";
 constexpr char ConfigurationUnreadable[] =
     "the gateway could not decode a newer configuration, which may have its "
     "route or key";
+constexpr char ConfigurationOutOfDate[] =
+    "no route of the current configuration matches it, and the gateway could "
+    "not read the configuration for too long to know that there is none";
 constexpr char RouteUnreadable[] =
     "it may belong to a route of the configuration that the gateway could not "
     "decode";
@@ -207,7 +213,9 @@
     {"no_route", fixedCause<NoRoute>},
     {"malformed", fixedCause<Malformed>},
     {"no_configuration", fixedCause<NoConfiguration>},
+    {"newer_configuration", fixedCause<NewerConfiguration>},
     {"configuration_unreadable", fixedCause<ConfigurationUnreadable>},
+    {"configuration_out_of_date", fixedCause<ConfigurationOutOfDate>},
     {"route_unreadable", fixedCause<RouteUnreadable>},
     {"service_unreadable", fixedCause<ServiceUnreadable>},
     {"team_unreadable", fixedCause<TeamUnreadable>},
--- a/src/libs/gateway/call.cpp
+++ b/src/libs/gateway/call.cpp
@@ -90,7 +90,7 @@
   }
   // The store may have come back with a version that is no longer in force.
   if (!State.ConfigurationConfirmed && State.lacksConfiguration()) {
-    refuse(Unavailable, "configuration_outdated", DefaultRetryAfter);
+    refuse(Unavailable, "newer_configuration", DefaultRetryAfter);
     return false;
   }
   if (!findRoute())
@@ -127,12 +127,15 @@
 }
 
 /// Refuses a call with what the configuration does not have, as not run if a
-/// newer one may have it that cannot be decoded or that another gateway has.
+/// newer one may have it that cannot be decoded, that another gateway has, or
+/// that could not be read for as long as keys are trusted.
 void Call::refuseUnknown(unsigned status, std::string_view reason) {
   if (State.mayLackConfiguration())
-    return refuse(Unavailable, "configuration_outdated", DefaultRetryAfter);
+    return refuse(Unavailable, "newer_configuration", DefaultRetryAfter);
   if (State.FleetView.isBehind())
     return refuse(Unavailable, "configuration_unreadable", DefaultRetryAfter);
+  if (ArrivedAt > State.KeysTrustedUntil)
+    return refuse(Unavailable, "configuration_out_of_date", DefaultRetryAfter);
   refuse(status, reason);
 }
 
