--- a/src/libs/explain/gatewaycauses.cpp
+++ b/src/libs/explain/gatewaycauses.cpp
@@ -171,6 +171,9 @@
     "the current configuration does not contain its key";
 constexpr char NoConfiguration[] =
     "the gateway had not read a configuration yet";
+constexpr char NewerConfiguration[] =
+    "another gateway may have a newer configuration in force, which this one "
+    "did not have yet";
 constexpr char ConfigurationUnreadable[] =
     "the gateway could not decode a newer configuration, which may have its "
     "route or key";
@@ -210,6 +213,7 @@
     {"no_route", fixedCause<NoRoute>},
     {"malformed", fixedCause<Malformed>},
     {"no_configuration", fixedCause<NoConfiguration>},
+    {"newer_configuration", fixedCause<NewerConfiguration>},
     {"configuration_unreadable", fixedCause<ConfigurationUnreadable>},
     {"configuration_out_of_date", fixedCause<ConfigurationOutOfDate>},
     {"route_unreadable", fixedCause<RouteUnreadable>},
--- a/tests/auto/gatewayprocesses/tst_gatewayprocesses.cpp
+++ b/tests/auto/gatewayprocesses/tst_gatewayprocesses.cpp
@@ -72,3 +72,43 @@
   CHECK(read->status == 410);
   CHECK(read->get_header_value("Store-Era") == "2");
 }
+
+// Issue 50: versions at offsets that all gateways had read in the era before
+// were never read.
+TEST_CASE("gateways, the store comes back older and a version takes an offset "
+          "that they have read, all of them serve its route") {
+  GatewayFleet fleet(5);
+  REQUIRE(fleet.awaitReady());
+  auto point = fleet.store().point();
+  auto config = GatewayFleet::desk(2);
+  config["routes"].push_back(GatewayFleet::route("second"));
+  fleet.configure(config);
+  REQUIRE(fleet.awaitStatus(200, {"/second/x"}));
+  auto absence = StoreStandin::Absence::None;
+  SUBCASE("without an absence") {}
+  SUBCASE("after an absence") { absence = StoreStandin::Absence::Reset; }
+  fleet.store().restoreCopy(point, absence);
+  fleet.store().comeBack();
+  // The operator writes the newest version again only as a part of the next.
+  config["version"] = 3;
+  config["routes"].push_back(GatewayFleet::route("added"));
+  fleet.configure(config);
+  CHECK(fleet.awaitStatus(200, {"/added/x"}));
+  CHECK(fleet.awaitStatus(200, {"/second/x"}));
+}
+
+// The copy has an older version than the one that was in force.
+TEST_CASE("gateways, the store comes back older and one of them is restarted "
+          "before the operator writes again, it serves the newest version") {
+  GatewayFleet fleet(3);
+  REQUIRE(fleet.awaitReady());
+  auto point = fleet.store().point();
+  fleet.configure(GatewayFleet::deskWithRoute(2));
+  REQUIRE(fleet.awaitStatus(200, {"/added/x"}));
+  fleet.store().restoreCopy(point);
+  for (int i = 0; i < fleet.size(); ++i) {
+    fleet.kill(i);
+    fleet.start(i);
+    CHECK(fleet.awaitStatus(200, {"/added/x"}));
+  }
+}
