Show that the fleet ignores a holder whose token fell with the copy

All gateways, also the holder itself, ignore heartbeats with a token below the highest that they know. They get no relay and no word of the fleet's version until later terms bring the token back.

--- a/tests/auto/restartedgateways/tst_restartedgateways.cpp
+++ b/tests/auto/restartedgateways/tst_restartedgateways.cpp
@@ -23,13 +23,21 @@
     REQUIRE(Fleet.awaitStatus(200));
     REQUIRE(eventually([&] {
       for (int i = 0; i < Fleet.size() && Holder < 0; ++i)
-        if (Fleet.metricsOf(i).find("\nhickory_gateway_holds_duty 1\n") !=
-            std::string::npos)
+        if (has(i, "hickory_gateway_holds_duty 1"))
           Holder = i;
       return Holder >= 0;
     }));
     Copy = Fleet.store().point();
   }
+  /// Whether the metrics of the gateway have this line.
+  bool has(int gateway, const std::string &line) const {
+    return Fleet.metricsOf(gateway).find("\n" + line + "\n") !=
+           std::string::npos;
+  }
+  bool awaitMetric(int gateway, const std::string &line) const {
+    return eventually([&] { return has(gateway, line); },
+                      std::chrono::seconds(20));
+  }
   int other() const { return (Holder + 1) % Fleet.size(); }
   /// Calls the gateway until it answers with this status, and returns all
   /// statuses of before.
@@ -76,3 +84,28 @@
   auto before = statusesUntil(401, other(), {});
   CHECK(before.count(200) == 0);
 }
+
+// Guards against gateways that ignore all heartbeats of a holder, as its token
+// is lower than one that was in the records which the store has lost.
+TEST_CASE_FIXTURE(RestartFixture,
+                  "holder that started again twice since the copy, the other "
+                  "gateways still follow the holder") {
+  for (int i = 0; i < 2; ++i) {
+    Fleet.kill(Holder);
+    Fleet.start(Holder);
+    REQUIRE(awaitMetric(Holder, "hickory_gateway_holds_duty 1"));
+    for (int k = 0; k < Fleet.size(); ++k)
+      REQUIRE(awaitMetric(k, "hickory_gateway_members 3"));
+  }
+  Fleet.store().restoreCopy(Copy);
+  // It finds the record of its first term, and takes the duty once more.
+  REQUIRE(eventually([&] {
+    return Fleet.logOf(Holder).find("event=duty_lost") != std::string::npos;
+  }));
+  REQUIRE(awaitMetric(Holder, "hickory_gateway_holds_duty 1"));
+  REQUIRE(awaitMetric(other(), "hickory_gateway_store_era 2"));
+  int last = (Holder + 2) % Fleet.size();
+  Fleet.kill(last);
+  CHECK(awaitMetric(Holder, "hickory_gateway_members 2"));
+  CHECK(awaitMetric(other(), "hickory_gateway_members 2"));
+}
