Quarantine requests that crash endpoints

Cause: only calls with shared prompt parts were recorded at a crash, so that no crash of a plain service was evidence of anything.

Change: each call has one more part, the hash of its host, target, team and body (marked by its top bit). Crashes, answers, reports, suspicions and quarantines carry it as they carry prompt parts. - Requests at the same crashes are told apart by the next crash or answer, or after five crashes are held back one step of 10 s after the other. - A quarantine of a request lasts 10 s at first, as a sound one may stand beside the crashes; one crash more, which every gateway that sees it acts on by itself, makes it five minutes. Lapsed quarantines outlive the holder. - A crash that the quarantine of a request with its prompt parts explains counts for these parts as soon as they are at another crash. - A call that broke off unanswered is not sent again by its gateway, and no slow one gets a second copy, if its request was at an earlier crash unanswered. - Answer times are kept for 40,000 parts at most; the holder rebuilds its accounts only after news. Events: endpoint_crashed names the requests, quarantine_decided the hashes of the newest entry, send_failed the request and whether it is suspected.

--- a/src/libs/explain/gatewaycauses.cpp
+++ b/src/libs/explain/gatewaycauses.cpp
@@ -175,7 +175,8 @@
 constexpr char DomainEvacuated[] =
     "all ready endpoints of its service were in evacuated failure domains";
 constexpr char PartQuarantined[] =
-    "a part of its prompt has crashed several endpoints and is quarantined";
+    "the request or a part of its prompt has crashed several endpoints and "
+    "is quarantined";
 constexpr char EndpointsLimited[] =
     "the limits on calls that its endpoints name, or have while they are cold, "
     "were used up";
--- a/src/libs/gateway/attempt.h
+++ b/src/libs/gateway/attempt.h
@@ -30,6 +30,9 @@
   bool SentBefore = false;
   /// The answer names the call.
   bool AnswerNamesCall = false;
+  /// The endpoint broke off the exchange before it had answered for long enough
+  /// to show that the call does not crash it.
+  bool BrokenOffUnanswered = false;
   /// Events of the answer have been forwarded to the caller.
   bool EventsForwarded = false;
   std::string Body;
--- a/src/libs/gateway/call.cpp
+++ b/src/libs/gateway/call.cpp
@@ -43,7 +43,10 @@
       HedgeTimer(state.Loop) {}
 
 void Call::start() {
-  if (!resolveRoute() || !authenticate() || refuseQuarantined())
+  if (!resolveRoute() || !authenticate())
+    return;
+  identifyRequest();
+  if (refuseQuarantined())
     return;
   auto self = shared_from_this();
   State.ActiveCalls[this] = self;
@@ -78,10 +81,10 @@
   }
   LastEventId = Metadata.LastEventId;
   for (const PromptPart &it : Metadata.Prompt)
-    SharedParts.push_back(Utils::fastHash(it.Id));
+    CrashParts.push_back(Quarantine::promptPart(Utils::fastHash(it.Id)));
   // The last part belongs to the call or its session alone.
-  if (!SharedParts.empty())
-    SharedParts.pop_back();
+  if (!CrashParts.empty())
+    CrashParts.pop_back();
   Configuration = State.FleetView.configuration();
   if (!Configuration) {
     refuse(Unavailable, "no_configuration", DefaultRetryAfter);
--- a/src/libs/gateway/call.h
+++ b/src/libs/gateway/call.h
@@ -33,6 +33,9 @@
   /// Checks the caller's key; refuses the call and returns false if it may not
   /// use the route.
   bool authenticate();
+  /// Adds the hash of the request to the call's parts: a caller's repeat of a
+  /// request has another id, but the same host, target and body.
+  void identifyRequest();
   void requestTokens();
   /// Requests tokens of a limit, a team's or an endpoint's. Returns nothing if
   /// the decision is pending.
@@ -85,7 +88,7 @@
   bool isStreamCutOff(const Attempt &attempt) const;
   void onSendFailed(Attempt &attempt, Balance::AttemptResult end);
   /// The endpoint broke off the exchange.
-  void onBrokenOff(const Attempt &attempt);
+  void onBrokenOff(Attempt &attempt);
   /// The endpoint has been answering long enough for the answer to show that
   /// the call does not crash it.
   static bool isAnswering(const Attempt &attempt);
@@ -94,6 +97,9 @@
   /// Refuses the call and returns true if its prompt parts are quarantined.
   bool refuseQuarantined();
   bool isQuarantined(Utils::TimePoint now) const;
+  /// Whether the request may be one that crashes endpoints. The crash of the
+  /// attempt that has just ended does not count, as it is not certain yet.
+  bool isSuspectedRequest() const;
   /// Whether the call may get a second copy when the first is slow.
   bool mayHedge() const;
   void noteFirstByte(const Attempt &attempt);
@@ -136,7 +142,8 @@
   HttpIo::ServerConnectionRef Caller;
   Http::Request Request;
   CallMetadata Metadata;
-  Quarantine::Parts SharedParts;
+  /// Prompt parts that other calls may share, and the hash of the request.
+  Quarantine::Parts CrashParts;
   Fleet::ConfigurationRef Configuration;
   const Fleet::Route *Route = nullptr;
   const Fleet::Team *Team = nullptr;
--- a/src/libs/gateway/callhedge.cpp
+++ b/src/libs/gateway/callhedge.cpp
@@ -45,7 +45,8 @@
       first->Head.Status != noHead)
     return;
   PickedAt = Utils::BootClock::now();
-  if (Deadline - PickedAt < MinTimeToSend || isQuarantined(PickedAt))
+  if (Deadline - PickedAt < MinTimeToSend || isQuarantined(PickedAt) ||
+      isSuspectedRequest())
     return;
   auto eligible = eligibleEndpoints();
   auto decision =
--- a/src/libs/gateway/callsend.cpp
+++ b/src/libs/gateway/callsend.cpp
@@ -1,6 +1,7 @@
 #include "gateway/call.h"
 
 #include "gateway/gatewayconstants.h"
+#include "utils/digest.h"
 #include "utils/utils.h"
 
 #include <algorithm>
@@ -467,8 +468,10 @@
   progress.AnswerStarted = AnswerStarted;
   Utils::TimePoint now = Utils::BootClock::now();
   bool inTime = now + MinTimeToSend < Deadline;
-  bool inBudget =
-      inTime && !otherInFlight && State.retryBudget(Service).takeRetry(now);
+  // A further run may cost a further endpoint.
+  bool suspected = attempt.BrokenOffUnanswered && isSuspectedRequest();
+  bool inBudget = inTime && !otherInFlight && !suspected &&
+                  State.retryBudget(Service).takeRetry(now);
   progress.RetryPermitted = inBudget;
   Balance::RecoveryAction next = Balance::recoveryAction(progress);
   State.MetricsRegistry.add(
@@ -481,6 +484,7 @@
       .with("adapter", Metadata.Adapter)
       .with("team", Team ? Team->Name : "")
       .with("parts", sharedPartIds(Metadata.Prompt))
+      .with("request", Utils::toHex(CrashParts.back()))
       .with("end", Balance::attemptResultName(end))
       .with("status", attempt.Head.Status)
       .with("not_run", attempt.NotExecuted)
@@ -490,6 +494,7 @@
       .with("sent_before", attempt.SentBefore)
       .with("in_time", inTime)
       .with("in_budget", inBudget)
+      .with("suspected", suspected)
       .with("next",
             otherInFlight ? "other_copy" : Balance::recoveryActionName(next))
       .with("ms", Utils::msBetween(attempt.SentAt, now))
--- a/src/libs/gateway/crashevidence.cpp
+++ b/src/libs/gateway/crashevidence.cpp
@@ -9,9 +9,8 @@
 
 namespace {
 
-/// How long crashes and answers are kept: as long as they decide anything.
+/// How long crashes are kept: as long as they decide anything.
 constexpr std::chrono::seconds EvidenceLifetime{60};
-constexpr std::chrono::seconds AnswerCheckInterval{1};
 /// Bounds of a report: crashes, and calls of one crash. More than that arrive
 /// with the next reports, or from other gateways.
 constexpr size_t MaxCrashesInReport = 8;
@@ -23,6 +22,14 @@
   return uint32_t(std::max<int64_t>(0, Utils::msBetween(at, now)));
 }
 
+/// A lapsed entry does not state since when: half of its period ago lies after
+/// the crashes from which it was decided.
+TimePoint untilOf(const FleetLink::QuarantinedParts &entry, TimePoint now) {
+  if (entry.RemainingMs == 0)
+    return now - milliseconds(entry.PeriodMs) / 2;
+  return now + milliseconds(entry.RemainingMs);
+}
+
 FleetLink::EndpointCrash toLink(const Quarantine::Crash &crash, TimePoint now) {
   FleetLink::EndpointCrash out{crash.Endpoint, ageMs(crash.At, now), {}};
   for (const Quarantine::Suspect &it : crash.Suspects)
@@ -45,9 +52,8 @@
 toLink(const std::vector<Quarantine::Entry> &entries, TimePoint now) {
   std::vector<FleetLink::QuarantinedParts> out;
   for (const Quarantine::Entry &it : entries)
-    if (now < it.Until)
-      out.push_back(
-          {it.Matching, ageMs(now, it.Until), uint32_t(it.Period.count())});
+    out.push_back(
+        {it.Matching, ageMs(now, it.Until), uint32_t(it.Period.count())});
   return out;
 }
 
@@ -57,8 +63,7 @@
   std::vector<Quarantine::Entry> out;
   for (const FleetLink::QuarantinedParts &it : entries)
     if (out.size() < Quarantine::MaxEntries && !it.Parts.empty())
-      out.push_back({it.Parts, now + milliseconds(it.RemainingMs),
-                     milliseconds(it.PeriodMs)});
+      out.push_back({it.Parts, untilOf(it, now), milliseconds(it.PeriodMs)});
   return out;
 }
 
@@ -71,14 +76,20 @@
   if (Crashes.size() > MaxOwnCrashes)
     Crashes.pop_front();
   Alone.addCrash(crash);
+  // The holder learns of a renewal with the next report.
+  if (Quarantine::renewLapsed(Entries, crash, now))
+    EntriesSentSequence = 0;
   if (!hasHolder)
     decideAlone(now);
 }
 
 /// Decides by what this gateway alone has seen.
 void CrashEvidence::decideAlone(TimePoint now) {
-  for (const auto &[part, at] : AnsweredAt)
-    Alone.addAnswer(part, at);
+  // An entry of the former holder that has lapsed may have to be renewed.
+  Alone.adopt(Entries);
+  for (Quarantine::Part part : Alone.partsAtCrashes())
+    if (auto at = Answers.find(part))
+      Alone.addAnswer(part, *at);
   if (!Alone.update(Utils::Milliseconds(0), now))
     return;
   Quarantine::merge(Entries, Alone.quarantines());
@@ -87,19 +98,26 @@
 
 void CrashEvidence::addAnswer(const Quarantine::Parts &parts,
                               TimePoint beganAt) {
-  for (Quarantine::Part it : parts) {
-    TimePoint &at = AnsweredAt[it];
-    at = std::max(at, beganAt);
-  }
-  dropOldAnswers(beganAt);
+  for (Quarantine::Part it : parts)
+    Answers.add(it, beganAt);
 }
 
-void CrashEvidence::dropOldAnswers(TimePoint now) {
-  if (now < AnswersDroppedAt + AnswerCheckInterval)
-    return;
-  AnswersDroppedAt = now;
-  std::erase_if(AnsweredAt, [&](const auto &it) {
-    return it.second + EvidenceLifetime < now;
+bool CrashEvidence::isSuspected(Quarantine::Part part, TimePoint now) const {
+  auto hasPart = [&](const Quarantine::Parts &parts) {
+    return std::find(parts.begin(), parts.end(), part) != parts.end();
+  };
+  bool isKnown = hasPart(Watched) || std::any_of(Entries.begin(), Entries.end(),
+                                                 [&](const auto &it) {
+                                                   return hasPart(it.Matching);
+                                                 });
+  if (isKnown)
+    return true;
+  TimePoint answeredAt = Answers.find(part).value_or(TimePoint{});
+  return std::any_of(Crashes.begin(), Crashes.end(), [&](const OwnCrash &it) {
+    const auto &calls = it.Seen.Suspects;
+    return it.Seen.At > std::max(answeredAt, now - EvidenceLifetime) &&
+           std::any_of(calls.begin(), calls.end(),
+                       [&](const auto &call) { return hasPart(call.Shared); });
   });
 }
 
@@ -133,13 +151,13 @@
       EntriesSentSequence = report.Sequence;
   }
   for (Quarantine::Part part : Watched)
-    if (auto it = AnsweredAt.find(part); it != AnsweredAt.end())
-      report.AnsweredParts.push_back({part, ageMs(it->second, now)});
+    if (auto at = Answers.find(part))
+      report.AnsweredParts.push_back({part, ageMs(*at, now)});
 }
 
 bool CrashEvidence::apply(const FleetLink::Heartbeat &heartbeat,
                           TimePoint now) {
-  size_t before = Entries.size();
+  size_t before = Quarantine::countInForce(Entries, now);
   Watched = heartbeat.WatchedParts;
   auto entries = fromLink(heartbeat.Quarantined, now);
   bool knowsOwn = false;
@@ -153,7 +171,7 @@
     Entries = std::move(entries);
   else
     Quarantine::merge(Entries, entries);
-  return Entries.size() != before;
+  return Quarantine::countInForce(Entries, now) != before;
 }
 
 } // namespace Gateway
--- a/src/libs/gateway/crashwatch.cpp
+++ b/src/libs/gateway/crashwatch.cpp
@@ -7,6 +7,22 @@
 
 namespace Gateway {
 
+namespace {
+
+/// Most requests that the event of a crash names.
+constexpr size_t MaxLoggedRequests = 16;
+
+Quarantine::Parts requestsOf(const Quarantine::Crash &crash) {
+  Quarantine::Parts out;
+  for (const Quarantine::Suspect &it : crash.Suspects)
+    for (Quarantine::Part part : it.Shared)
+      if (Quarantine::isRequest(part) && out.size() < MaxLoggedRequests)
+        out.push_back(part);
+  return out;
+}
+
+} // namespace
+
 void CrashWatch::onBrokenOff(const std::string &endpoint,
                              const std::string &address,
                              Quarantine::Suspect call) {
@@ -39,6 +55,7 @@
   Utils::Event("endpoint_crashed")
       .with("endpoint", endpoint)
       .with("unanswered", crash.Suspects.size())
+      .with("requests", Quarantine::textOf(requestsOf(crash)))
       .warning();
   if (OnCrash)
     OnCrash(crash);
--- a/src/libs/gateway/fleetholder.cpp
+++ b/src/libs/gateway/fleetholder.cpp
@@ -232,16 +232,20 @@
   // A gateway learns with the answer to its next report which parts are of
   // interest, and reports its answers of them with the one after it.
   Utils::Milliseconds answerDelay = 2 * reportInterval(liveMemberCount());
-  size_t before = Crashes.quarantines().size();
+  size_t before = Crashes.quarantineCount(now);
   if (!Crashes.update(answerDelay, now))
     return;
   Utils::Event event("quarantine_decided");
-  event.with("entries", Crashes.quarantines().size())
+  event.with("entries", Crashes.quarantineCount(now))
       .with("watched", Crashes.partsToWatch().size());
-  if (!Crashes.quarantines().empty())
-    event.with("parts", Crashes.quarantines().back().Matching.size());
+  if (!Crashes.quarantines().empty()) {
+    const Quarantine::Entry &newest = Crashes.quarantines().back();
+    event.with("parts", newest.Matching.size())
+        .with("matching", Quarantine::textOf(newest.Matching))
+        .with("period_ms", newest.Period.count());
+  }
   event.warning();
-  if (Crashes.quarantines().size() > before)
+  if (Crashes.quarantineCount(now) > before)
     broadcastSoon();
 }
 
--- a/src/libs/gateway/fleetmember.cpp
+++ b/src/libs/gateway/fleetmember.cpp
@@ -384,7 +384,7 @@
   applyEndpointLimits(heartbeat, now);
   if (Evidence.apply(heartbeat, now))
     Utils::Event("quarantine_changed")
-        .with("entries", quarantineCount())
+        .with("entries", quarantineCount(now))
         .info();
   OtherLoads.clear();
   for (const FleetLink::EndpointCalls &it : heartbeat.Loads) {
--- a/src/libs/gateway/fleetmember.h
+++ b/src/libs/gateway/fleetmember.h
@@ -100,16 +100,22 @@
   std::optional<TimePoint> endOfLimit(const std::string &endpoint,
                                       TimePoint now) const;
 
-  // Prompt parts that crash endpoints.
+  // Prompt parts and requests that crash endpoints.
 
   void recordCrash(const Quarantine::Crash &crash, TimePoint now);
-  /// A call with these shared parts was answered; the answer began then.
+  /// A call with these parts was answered; the answer began then.
   void recordAnswer(const Quarantine::Parts &parts, TimePoint beganAt);
-  /// When the quarantine of a call with these shared parts ends; nothing if it
+  /// When the quarantine of a call with these parts ends; nothing if it
   /// is not under one.
   std::optional<TimePoint> quarantinedUntil(const Quarantine::Parts &parts,
                                             TimePoint now) const;
-  size_t quarantineCount() const { return Evidence.quarantines().size(); }
+  size_t quarantineCount(TimePoint now) const {
+    return Quarantine::countInForce(Evidence.quarantines(), now);
+  }
+  /// See CrashEvidence.
+  bool isSuspected(Quarantine::Part request, TimePoint now) const {
+    return Evidence.isSuspected(request, now);
+  }
 
   // Exchange with the holder.
 
--- a/src/libs/gateway/process.cpp
+++ b/src/libs/gateway/process.cpp
@@ -384,7 +384,8 @@
                double(CallerListener.connectionCount()));
   registry.set("hickory_gateway_members", State.Coordination.members());
   registry.set("hickory_gateway_quarantines",
-               double(State.Coordination.member().quarantineCount()));
+               double(State.Coordination.member().quarantineCount(
+                   Utils::BootClock::now())));
   registry.set("hickory_gateway_cold_endpoints",
                double(State.Coordination.member().coldCount(now)));
   registry.set("hickory_gateway_holds_duty", State.Coordination.isHolder());
--- a/src/libs/quarantine/crashledger.h
+++ b/src/libs/quarantine/crashledger.h
@@ -8,20 +8,6 @@
 
 namespace Quarantine {
 
-/// A call that was at an endpoint, not yet answered, when that crashed.
-struct Suspect {
-  Parts Shared;
-  TimePoint SentAt{};
-};
-
-/// A crash of an endpoint as one gateway saw it.
-struct Crash {
-  /// Hash of the endpoint's id.
-  uint32_t Endpoint = 0;
-  TimePoint At{};
-  std::vector<Suspect> Suspects;
-};
-
 /// Decides from crashes and answers which parts are quarantined.
 ///
 /// A part that crashes endpoints crashes every one that begins to answer it.
@@ -29,6 +15,9 @@
 /// and the calls that were sent after one crash cause the next. The part (or
 /// the parts that always come together) that accounts for most crashes in this
 /// sense is quarantined; these crashes then count against no other part.
+///
+/// A request that crashes endpoints shows in the same way by its hash. Requests
+/// that were at the same crashes are told apart by the next crash or answer.
 class CrashLedger {
 public:
   /// Crashes of one endpoint as seen by several gateways are one crash.
@@ -47,7 +36,12 @@
   /// Parts about which answers are of interest: those that may be quarantined,
   /// and those that are.
   Parts partsToWatch() const;
+  /// Parts of the calls that were at the recent crashes, sorted.
+  Parts partsAtCrashes() const;
   const std::vector<Entry> &quarantines() const { return Quarantines; }
+  size_t quarantineCount(TimePoint now) const {
+    return countInForce(Quarantines, now);
+  }
 
 private:
   /// Crashes for which a part accounts.
@@ -59,21 +53,34 @@
     uint32_t Sequence = 0;
   };
 
+  using Accounts = std::map<Part, Account>;
+
   void expire(TimePoint now);
-  std::map<Part, Account> accounts() const;
-  size_t unexplainedCrashes(TimePoint now) const;
-  void suspect(const std::map<Part, Account> &accounts, TimePoint now);
+  const Accounts &accounts();
+  Accounts makeAccounts() const;
+  size_t unexplainedCrashes(bool ofPromptParts, TimePoint now) const;
+  void suspect(const Accounts &accounts, Milliseconds answerDelay,
+               TimePoint now);
+  TimePoint watchedSince(Part part, Milliseconds answerDelay,
+                         TimePoint now) const;
   bool isExplained(const Crash &crash) const;
+  bool isExplainedWith(const Crash &crash, Part part) const;
   bool renewLapsed(TimePoint now);
   bool quarantineNext(Milliseconds answerDelay, TimePoint now);
+  Part leastAnswered(const Parts &parts) const;
   bool comeTogether(Part left, Part right, const Account &account) const;
-  void quarantine(Parts parts, TimePoint now);
+  Parts partsTogether(Part first, const Parts &candidates,
+                      const Accounts &accounts) const;
+  bool makeRoom(TimePoint now);
+  void quarantine(Parts parts, Milliseconds period, TimePoint now);
 
   std::deque<Crash> Crashes;
   std::map<Part, TimePoint> AnsweredAt;
   /// Since when parts are suspected.
   std::map<Part, TimePoint> SuspectedSince;
   std::vector<Entry> Quarantines;
+  /// Result of makeAccounts(); none if the evidence has changed since.
+  std::optional<Accounts> KnownAccounts;
 };
 
 } // namespace Quarantine
--- a/src/libs/quarantine/quarantinelist.cpp
+++ b/src/libs/quarantine/quarantinelist.cpp
@@ -1,9 +1,18 @@
 #include "quarantine/quarantinelist.h"
 
+#include "utils/digest.h"
+
 #include <algorithm>
 
 namespace Quarantine {
 
+std::string textOf(const Parts &parts) {
+  std::string out;
+  for (Part it : parts)
+    out += (out.empty() ? "" : ",") + Utils::toHex(it);
+  return out;
+}
+
 bool matches(const Entry &entry, const Parts &parts) {
   return std::all_of(
       entry.Matching.begin(), entry.Matching.end(), [&](Part it) {
@@ -11,6 +20,29 @@
       });
 }
 
+bool matches(const Entry &entry, const Crash &crash) {
+  return std::any_of(
+      crash.Suspects.begin(), crash.Suspects.end(),
+      [&](const Suspect &it) { return matches(entry, it.Shared); });
+}
+
+bool renewLapsed(std::vector<Entry> &list, const Crash &crash, TimePoint now) {
+  bool renewed = false;
+  for (Entry &it : list) {
+    if (now < it.Until || crash.At <= it.Until || !matches(it, crash))
+      continue;
+    it.Period = std::clamp<Milliseconds>(2 * it.Period, FirstPeriod, MaxPeriod);
+    it.Until = now + it.Period;
+    renewed = true;
+  }
+  return renewed;
+}
+
+size_t countInForce(const std::vector<Entry> &list, TimePoint now) {
+  return size_t(std::count_if(list.begin(), list.end(),
+                              [&](const Entry &it) { return now < it.Until; }));
+}
+
 void merge(std::vector<Entry> &list, const std::vector<Entry> &added) {
   for (const Entry &entry : added) {
     auto known = std::find_if(list.begin(), list.end(), [&](const Entry &it) {
--- a/src/libs/utils/digest.cpp
+++ b/src/libs/utils/digest.cpp
@@ -40,6 +40,16 @@
   return XXH3_64bits_withSeed(text.data(), text.size(), seed);
 }
 
+std::string toHex(uint64_t hash) {
+  constexpr size_t digits = 16;
+  constexpr unsigned bitsPerDigit = 4;
+  constexpr unsigned lastDigit = 15;
+  std::string out(digits, '0');
+  for (size_t i = digits; i-- > 0; hash >>= bitsPerDigit)
+    out[i] = "0123456789abcdef"[hash & lastDigit];
+  return out;
+}
+
 bool equalInConstantTime(std::string_view left, std::string_view right) {
   return left.size() == right.size() &&
          sodium_memcmp(left.data(), right.data(), left.size()) == 0;
--- a/src/libs/utils/digest.h
+++ b/src/libs/utils/digest.h
@@ -19,6 +19,9 @@
 /// Compares two strings in time that depends only on their lengths.
 bool equalInConstantTime(std::string_view left, std::string_view right);
 
+/// The hash as 16 hexadecimal digits.
+std::string toHex(uint64_t hash);
+
 /// Encodes as standard base64.
 std::string toBase64(std::string_view bytes);
 
