--- a/tests/auto/gateway/scriptedendpoint.cpp
+++ b/tests/auto/gateway/scriptedendpoint.cpp
@@ -89,9 +89,13 @@
                             const Http::Request &request) {
   Requests.push_back(request);
   ArrivalTimes.push_back(Utils::BootClock::now());
+  auto isCrashing = [&](const std::string &text) {
+    return !CrashingText.empty() && text.find(CrashingText) != text.npos;
+  };
+  if (isCrashing(request.Target))
+    return crash();
   for (const Http::Field &it : request.Headers)
-    if (!CrashingText.empty() &&
-        it.Value.find(CrashingText) != std::string::npos)
+    if (isCrashing(it.Value))
       return crash();
   bool connectionUsed = peer->Requests++ > 0;
   std::string copies = connectionUsed ? std::exchange(Copies, {}) : "";
--- a/tests/auto/gateway/scriptedendpoint.h
+++ b/tests/auto/gateway/scriptedendpoint.h
@@ -46,8 +46,8 @@
   void resetAll();
   /// Sends the text on all its open connections.
   void sendToAll(const std::string &text);
-  /// If not empty: a request whose headers contain this text crashes the
-  /// endpoint before it answers.
+  /// If not empty: a request whose target or headers contain this text crashes
+  /// the endpoint before it answers.
   std::string CrashingText;
   /// Time that it takes to start again after a crash.
   std::chrono::milliseconds RestartTime{100};
