--- a/src/libs/gateway/crashevidence.cpp
+++ b/src/libs/gateway/crashevidence.cpp
@@ -51,6 +51,7 @@
 std::vector<FleetLink::QuarantinedParts>
 toLink(const std::vector<Quarantine::Entry> &entries, TimePoint now) {
   std::vector<FleetLink::QuarantinedParts> out;
+  out.reserve(entries.size());
   for (const Quarantine::Entry &it : entries)
     out.push_back(
         {it.Matching, ageMs(now, it.Until), uint32_t(it.Period.count())});
