Keep the port of a scripted endpoint that is down

Cause: an endpoint that had crashed gave its port back until it started again, and an outgoing connection could be given it: tst_crashingprocesses ended with "bind: Address already in use" in 2 of 5 runs. The port stays bound, without listening, so that connections to it are refused as before.

--- a/tests/auto/gateway/scriptedendpoint.cpp
+++ b/tests/auto/gateway/scriptedendpoint.cpp
@@ -56,15 +56,19 @@
 
 void ScriptedEndpoint::crash() {
   ++Crashes;
+  IsDown = true;
   Acceptor.close();
   resetAll();
+  // Keeps the port, so that no outgoing connection is given it. Connections to
+  // it are refused until it listens again.
+  Acceptor.open(Address.protocol());
+  Acceptor.set_option(asio::socket_base::reuse_address(true));
+  Acceptor.bind(Address);
   auto timer =
       std::make_shared<HttpIo::Timer>(Acceptor.get_executor(), RestartTime);
   timer->async_wait([this, timer](const std::error_code &) {
-    Acceptor.open(Address.protocol());
-    Acceptor.set_option(asio::socket_base::reuse_address(true));
-    Acceptor.bind(Address);
     Acceptor.listen();
+    IsDown = false;
     accept();
   });
 }
--- a/tests/auto/gateway/scriptedendpoint.h
+++ b/tests/auto/gateway/scriptedendpoint.h
@@ -57,7 +57,7 @@
   /// If set, decides the response to each request in place of the scripts.
   std::function<Script(const Http::Request &)> Respond;
   std::vector<Utils::TimePoint> ArrivalTimes;
-  bool isDown() const { return !Acceptor.is_open(); }
+  bool isDown() const { return IsDown; }
   /// Number of connections that the gateway has closed.
   int Ended = 0;
   int Accepted = 0;
@@ -77,6 +77,7 @@
   /// Late copies that are still to be sent.
   std::string Copies;
   std::deque<Script> &Scripts;
+  bool IsDown = false;
   HttpIo::Tcp::acceptor Acceptor;
   HttpIo::Tcp::endpoint Address;
 };
