Bound the interim answers of an exchange

An endpoint or a store that sent nothing but 100 or 103 answers was read until the deadline of the call, at the full speed of the link: 9.1 GB in 60 s in a call to the store. Each of them was parsed and discarded, and nothing counted them.

An exchange now ends as malformed after 64 interim answers, or 64 KB of them.

--- a/src/libs/httpio/clientconnection.cpp
+++ b/src/libs/httpio/clientconnection.cpp
@@ -16,6 +16,11 @@
 /// the peer closes the connection.
 constexpr std::chrono::milliseconds IdleTimeoutMargin{500};
 
+bool isInterim(unsigned status) {
+  constexpr unsigned firstFinalStatus = 200;
+  return status < firstFinalStatus;
+}
+
 } // namespace
 
 std::string_view exchangeResultName(ExchangeResult value) {
@@ -33,6 +38,7 @@
   Output = std::move(request);
   ++Exchanges;
   Parser.reset();
+  ResponseBytes = InterimResponses = InterimBytes = 0;
   HeadHandled = Skipping = Reusable = false;
   if (Connected)
     return write();
@@ -106,11 +112,15 @@
 void ClientConnection::feed() {
   while (inExchange()) {
     std::string body;
+    size_t unparsed = Input.size();
     Http::ResponseState state = Parser.feed(Input, body);
+    ResponseBytes += unparsed - Input.size();
     if (state == Http::ResponseState::Malformed)
       return endExchange(ExchangeResult::Malformed);
     if (state == Http::ResponseState::Head || !handleHead())
       return;
+    if (Skipping && discardsTooMuch())
+      return endExchange(ExchangeResult::Malformed);
     if (!body.empty() && !Skipping)
       std::shared_ptr(Callbacks)->OnBody(body);
     if (state == Http::ResponseState::Body)
@@ -118,21 +128,31 @@
     bool accepted = !Skipping;
     if (accepted && inExchange())
       return endExchange(ExchangeResult::Complete);
+    if (isInterim(Parser.head().Status)) {
+      ++InterimResponses;
+      InterimBytes += ResponseBytes;
+    }
+    ResponseBytes = 0;
     Parser.reset();
     HeadHandled = Skipping = false;
   }
 }
 
+bool ClientConnection::discardsTooMuch() const {
+  return isInterim(Parser.head().Status) &&
+         (InterimResponses >= MaxInterimResponses ||
+          InterimBytes + ResponseBytes > MaxInterimBytes);
+}
+
 /// Passes the head of each final response to OnHead once. Returns false if the
 /// callback has ended the exchange.
 bool ClientConnection::handleHead() {
   if (HeadHandled)
     return true;
   HeadHandled = true;
-  constexpr unsigned firstFinalStatus = 200;
   auto callbacks = Callbacks;
   Skipping =
-      Parser.head().Status < firstFinalStatus ||
+      isInterim(Parser.head().Status) ||
       callbacks->OnHead(Parser.head(), Parser.framing()) == HeadVerdict::Skip;
   return inExchange();
 }
--- a/src/libs/httpio/clientconnection.h
+++ b/src/libs/httpio/clientconnection.h
@@ -69,6 +69,8 @@
   void onReadEnd(const std::error_code &ec);
   void feed();
   bool handleHead();
+  /// Whether the responses that were discarded in this exchange exceed a limit.
+  bool discardsTooMuch() const;
   void endExchange(ExchangeResult result);
   bool inExchange() const { return Callbacks != nullptr; }
 
@@ -83,6 +85,12 @@
   Utils::TimePoint IdleUntil;
   Utils::TimePoint LastUsed;
   uint32_t Exchanges = 0;
+  /// Parsed bytes of the current response.
+  size_t ResponseBytes = 0;
+  /// Number and size of the interim responses of the exchange that are
+  /// complete.
+  size_t InterimResponses = 0;
+  size_t InterimBytes = 0;
   bool Connected = false;
   bool Writing = false;
   bool HeadHandled = false;
--- a/src/libs/httpio/httpioconstants.h
+++ b/src/libs/httpio/httpioconstants.h
@@ -13,6 +13,12 @@
 /// which its encoding enlarges by a third.
 constexpr size_t MaxFetchBytes = 8 << 20;
 
+/// Maximum number and size of the interim responses (status 1xx) of one
+/// exchange. A server sends one or two; without a limit, one that sends nothing
+/// else would be read until the deadline of its caller.
+constexpr size_t MaxInterimResponses = 64;
+constexpr size_t MaxInterimBytes = 65'536;
+
 /// Maximum unsent output for a client that reads too slowly; the connection is
 /// closed when more is sent while it is exceeded. About a hundred times a long
 /// stream of the sites.
