Bound the answers to other calls that are skipped

A late copy of an answer to another call is skipped. An endpoint that sent nothing but such answers, or one with a body without end, was read until the deadline of the call.

An exchange now ends as malformed after 16 skipped answers, or 4 MB of them, the most that one answer may have. tst_endlessanswers: the three places of answers to other calls were red before and pass; an answer behind eight copies and eight interim answers still reaches its caller.

--- a/src/libs/httpio/clientconnection.cpp
+++ b/src/libs/httpio/clientconnection.cpp
@@ -38,7 +38,8 @@
   Output = std::move(request);
   ++Exchanges;
   Parser.reset();
-  ResponseBytes = InterimResponses = InterimBytes = 0;
+  ResponseBytes = 0;
+  Interim = Skipped = {};
   HeadHandled = Skipping = Reusable = false;
   if (Connected)
     return write();
@@ -128,20 +129,24 @@
     bool accepted = !Skipping;
     if (accepted && inExchange())
       return endExchange(ExchangeResult::Complete);
-    if (isInterim(Parser.head().Status)) {
-      ++InterimResponses;
-      InterimBytes += ResponseBytes;
-    }
-    ResponseBytes = 0;
+    noteDiscarded();
     Parser.reset();
     HeadHandled = Skipping = false;
   }
 }
 
 bool ClientConnection::discardsTooMuch() const {
-  return isInterim(Parser.head().Status) &&
-         (InterimResponses >= MaxInterimResponses ||
-          InterimBytes + ResponseBytes > MaxInterimBytes);
+  if (isInterim(Parser.head().Status))
+    return Interim.Responses >= MaxInterimResponses ||
+           Interim.Bytes + ResponseBytes > MaxInterimBytes;
+  return Skipped.Responses >= MaxSkippedResponses ||
+         Skipped.Bytes + ResponseBytes > MaxSkippedBytes;
+}
+
+void ClientConnection::noteDiscarded() {
+  Discarded &discarded = isInterim(Parser.head().Status) ? Interim : Skipped;
+  ++discarded.Responses;
+  discarded.Bytes += std::exchange(ResponseBytes, 0);
 }
 
 /// Passes the head of each final response to OnHead once. Returns false if the
--- a/src/libs/httpio/clientconnection.h
+++ b/src/libs/httpio/clientconnection.h
@@ -62,6 +62,11 @@
   std::function<void()> OnClosed;
 
 private:
+  /// Complete responses of the exchange that were discarded.
+  struct Discarded {
+    size_t Responses = 0;
+    size_t Bytes = 0;
+  };
   void connect(const Tcp::endpoint &peer);
   void write();
   void read();
@@ -71,6 +76,8 @@
   bool handleHead();
   /// Whether the responses that were discarded in this exchange exceed a limit.
   bool discardsTooMuch() const;
+  /// Adds the current response to those that were discarded.
+  void noteDiscarded();
   void endExchange(ExchangeResult result);
   bool inExchange() const { return Callbacks != nullptr; }
 
@@ -87,10 +94,8 @@
   uint32_t Exchanges = 0;
   /// Parsed bytes of the current response.
   size_t ResponseBytes = 0;
-  /// Number and size of the interim responses of the exchange that are
-  /// complete.
-  size_t InterimResponses = 0;
-  size_t InterimBytes = 0;
+  Discarded Interim;
+  Discarded Skipped;
   bool Connected = false;
   bool Writing = false;
   bool HeadHandled = false;
--- a/src/libs/httpio/httpioconstants.h
+++ b/src/libs/httpio/httpioconstants.h
@@ -19,6 +19,12 @@
 constexpr size_t MaxInterimResponses = 64;
 constexpr size_t MaxInterimBytes = 65'536;
 
+/// Maximum number and size of the responses of one exchange that are discarded
+/// because they belong to another request: a connection has few late copies of
+/// earlier responses, and the largest that a gateway takes has 4 MB.
+constexpr size_t MaxSkippedResponses = 16;
+constexpr size_t MaxSkippedBytes = 4 << 20;
+
 /// Maximum unsent output for a client that reads too slowly; the connection is
 /// closed when more is sent while it is exceeded. About a hundred times a long
 /// stream of the sites.
