Bound the answers that are buffered at a time

Each answer that is buffered was bounded by 4 MB, but not their number: 60 calls to an endpoint that sent 3 MB to each and never ended held 189 MB, more than the 160 MB of the smallest VMs. A gateway that runs out of memory ends the calls of all its clients.

All buffered answers together may now have 32 MB.

--- a/src/libs/gateway/call.h
+++ b/src/libs/gateway/call.h
@@ -77,6 +77,8 @@
                        unsigned status) const;
   void onBody(Attempt &attempt, std::string_view data);
   void forwardEvents(Attempt &attempt);
+  /// Lets the bound on all buffered answers abort the attempt.
+  void limitBuffer(const AttemptRef &attempt);
   void abortOversizedAnswer(Attempt &attempt);
   void onEnd(Attempt &attempt, HttpIo::ExchangeResult end);
   void completeAnswer(const Attempt &attempt);
--- a/src/libs/gateway/callbody.cpp
+++ b/src/libs/gateway/callbody.cpp
@@ -35,10 +35,22 @@
   if (attempt.isAnswer() && streams() && attempt.isSuccess() && !Done)
     forwardEvents(attempt);
   if (attempt.Body.size() > MaxAnswerBytes)
-    abortOversizedAnswer(attempt);
+    return abortOversizedAnswer(attempt);
+  State.BufferedAnswers.resize(&attempt, attempt.Body.size());
 }
 
-/// Aborts an exchange whose answer exceeds MaxAnswerBytes.
+void Call::limitBuffer(const AttemptRef &attempt) {
+  State.BufferedAnswers.add(
+      attempt.get(), [call = weak_from_this(), held = std::weak_ptr(attempt)] {
+        auto self = call.lock();
+        auto it = held.lock();
+        if (self && it && it->isInFlight())
+          self->abortOversizedAnswer(*it);
+      });
+}
+
+/// Aborts an exchange whose answer exceeds MaxAnswerBytes, or is the largest
+/// when all answers exceed MaxHeldAnswerBytes.
 void Call::abortOversizedAnswer(Attempt &attempt) {
   Utils::Event("answer_too_long")
       .with("id", Metadata.Id)
--- a/src/libs/gateway/callsend.cpp
+++ b/src/libs/gateway/callsend.cpp
@@ -215,6 +215,7 @@
   attempt.Connection = connectionForSend(attempt);
   attempt.ConnectionReused = attempt.Connection->exchanges() > 0;
   ++Sends;
+  limitBuffer(sent);
   attempt.Connection->exchange(
       address,
       Http::serializeRequest(State.Clients.Calls.Forward(Request, metadata)),
@@ -385,6 +386,7 @@
 void Call::endSend(Attempt &attempt, Balance::AttemptResult end) {
   State.HealthTracker.onEnded(attempt.EndpointId, end, Utils::BootClock::now());
   attempt.Connection.reset();
+  State.BufferedAnswers.remove(&attempt);
   if (Done)
     DeadlineTimer.cancel();
 }
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -11,6 +11,7 @@
 #include "gateway/engineclient.h"
 #include "gateway/fleetagent.h"
 #include "gateway/gatewaysettings.h"
+#include "gateway/heldanswers.h"
 #include "gateway/store.h"
 #include "gateway/topicfeed.h"
 #include "gateway/view.h"
@@ -46,6 +47,7 @@
   Metrics::Registry MetricsRegistry;
   DispatchQueue PendingDispatch;
   AdmissionQueue PendingAdmission;
+  HeldAnswers BufferedAnswers;
   FleetAgent Coordination;
   CrashWatch Crashes;
   std::map<std::string, Balance::RetryBudget> RetryBudgets;
--- a/src/libs/gateway/gatewayconstants.h
+++ b/src/libs/gateway/gatewayconstants.h
@@ -72,6 +72,10 @@
 /// several at once in the 160 MB of the smallest VMs.
 constexpr size_t MaxAnswerBytes = 4 << 20;
 
+/// Maximum size of all answers that are buffered at a time: a fifth of the
+/// 160 MB, as a string may reserve twice what it holds.
+constexpr size_t MaxHeldAnswerBytes = 32 << 20;
+
 /// Retry-After of a refusal when no better estimate is known.
 constexpr milliseconds DefaultRetryAfter{500};
 
