--- a/tests/auto/engine/endless.cpp
+++ b/tests/auto/engine/endless.cpp
@@ -32,6 +32,9 @@
   return {
       {"bytes that are no HTTP", "", repeated("x")},
       {"reason of the status line", "HTTP/1.1 200 ", repeated("x")},
+      {"reason of a status line that ends",
+       "HTTP/1.1 200 " + std::string(16'300, 'x') + "\r\n",
+       repeated("A: b\r\n")},
       {"value of a field", "HTTP/1.1 200 OK\r\nX: ", repeated("x")},
       {"fields", "HTTP/1.1 200 OK\r\n", repeated("A: b\r\n")},
       {"interim answers", "", repeated("HTTP/1.1 100 X\r\n\r\n")},
