--- a/tests/auto/engine/endless.cpp
+++ b/tests/auto/engine/endless.cpp
@@ -67,3 +67,31 @@
     CHECK(server.awaitSent() <= SocketSlackBytes);
   }
 }
+
+// Issue 50, other operators: a health answer without end filled the memory of
+// the machine that had asked for it.
+TEST_CASE(
+    "report of an engine and answer to an order without end, at any place "
+    "of it, end within few bytes as failures") {
+  std::vector<EndlessAnswer> answers = endlessAnswers();
+  answers.push_back(
+      {"body without a length", "HTTP/1.1 200 OK\r\n\r\n", repeated("x")});
+  answers.push_back({"body shorter than its length",
+                     "HTTP/1.1 200 OK\r\nContent-Length: 999999999999\r\n\r\n",
+                     repeated("x")});
+  using Request = std::function<bool(const Engine::EngineApi &)>;
+  const std::vector<std::pair<std::string, Request>> requests = {
+      {"state", [](const auto &it) { return bool(it.State()); }},
+      {"usage", [](const auto &it) { return bool(it.Usage()); }},
+      {"load", [](const auto &it) { return bool(it.Load({})); }},
+  };
+  for (const EndlessAnswer &it : answers)
+    for (const auto &[name, request] : requests) {
+      CAPTURE(it.Place);
+      CAPTURE(name);
+      EndlessServer server(it.Begin, it.Repeated);
+      CHECK_FALSE(request(Platform::makeHttpEngine(
+          "127.0.0.1", server.port(), Platform::makeConnectionPool())));
+      CHECK(server.awaitSent() <= SocketSlackBytes);
+    }
+}
