Deny nothing by a configuration older than the operators' bound

What its configuration lacks is refused as not run once the configuration is older than the bound in which changes come into force.

--- a/src/libs/gateway/call.cpp
+++ b/src/libs/gateway/call.cpp
@@ -131,13 +131,13 @@
 
 /// Refuses a call with what the configuration does not have, as not run if a
 /// newer one may have it that cannot be decoded, that another gateway has, or
-/// that could not be read for as long as keys are trusted.
+/// that could not be read within the bound on its age.
 void Call::refuseUnknown(unsigned status, std::string_view reason) {
   if (State.mayLackConfiguration())
     return refuse(Unavailable, "newer_configuration", DefaultRetryAfter);
   if (State.FleetView.isBehind())
     return refuse(Unavailable, "configuration_unreadable", DefaultRetryAfter);
-  if (ArrivedAt > State.KeysTrustedUntil)
+  if (ArrivedAt > State.ConfigurationTrustedUntil)
     return refuse(Unavailable, "configuration_out_of_date", DefaultRetryAfter);
   refuse(status, reason);
 }
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -80,6 +80,9 @@
   Utils::TimePoint EndCallsAt = Utils::TimePoint::max();
   /// Time at which the list of keys was last known to be complete.
   Utils::TimePoint KeysReadAt{};
+  /// Until this time what the configuration lacks does not exist, within the
+  /// operators' bound on its age.
+  Utils::TimePoint ConfigurationTrustedUntil{};
   /// Until this time no key can have been revoked unnoticed.
   Utils::TimePoint KeysTrustedUntil{};
 
--- a/src/libs/gateway/process.cpp
+++ b/src/libs/gateway/process.cpp
@@ -324,6 +324,8 @@
 void Process::onCallerRequest(const HttpIo::ServerConnectionRef &caller,
                               Http::Request request) {
   State.KeysReadAt = ConfigurationFeed.completeUntil();
+  State.ConfigurationTrustedUntil =
+      State.KeysReadAt + State.Settings.ConfigurationApply;
   if (auto since = State.FleetView.behindSince())
     State.KeysReadAt = std::min(State.KeysReadAt, *since);
   State.KeysTrustedUntil =
