--- a/tests/auto/restoredstore/tst_restoredstore.cpp
+++ b/tests/auto/restoredstore/tst_restoredstore.cpp
@@ -1,4 +1,5 @@
 #include "gatewayprocesses/gatewayfleet.h"
+#include "support/cluster.h"
 
 #include <doctest/doctest.h>
 
@@ -38,3 +39,43 @@
   CHECK(fleet.awaitStatus(200, {"/added/x"}));
   CHECK(fleet.awaitStatus(200, {"/third/x"}));
 }
+
+// Guards against gateways that ignore all heartbeats of a holder, as its token
+// is lower than one that was in the records which the store has lost.
+TEST_CASE("holder that started again twice since the copy, the other gateways "
+          "still follow the holder") {
+  GatewayFleet fleet(3);
+  auto awaitMetric = [&](int gateway, const std::string &line) {
+    return eventually(
+        [&] {
+          return fleet.metricsOf(gateway).find("\n" + line + "\n") !=
+                 std::string::npos;
+        },
+        std::chrono::seconds(20));
+  };
+  REQUIRE(fleet.awaitReady());
+  int holder = -1;
+  REQUIRE(eventually([&] {
+    for (int i = 0; i < fleet.size() && holder < 0; ++i)
+      if (fleet.metricsOf(i).find("\nhickory_gateway_holds_duty 1\n") !=
+          std::string::npos)
+        holder = i;
+    return holder >= 0;
+  }));
+  auto copy = fleet.store().point();
+  for (int i = 0; i < 2; ++i) {
+    fleet.kill(holder);
+    fleet.start(holder);
+    REQUIRE(awaitMetric(holder, "hickory_gateway_holds_duty 1"));
+    for (int k = 0; k < fleet.size(); ++k)
+      REQUIRE(awaitMetric(k, "hickory_gateway_members 3"));
+  }
+  fleet.store().restoreCopy(copy);
+  int other = (holder + 1) % fleet.size();
+  REQUIRE(awaitMetric(holder, "hickory_gateway_store_era 2"));
+  REQUIRE(awaitMetric(other, "hickory_gateway_store_era 2"));
+  REQUIRE(awaitMetric(holder, "hickory_gateway_holds_duty 1"));
+  fleet.kill((holder + 2) % fleet.size());
+  CHECK(awaitMetric(holder, "hickory_gateway_members 2"));
+  CHECK(awaitMetric(other, "hickory_gateway_members 2"));
+}
