Make the new tests pass the linter

Unity builds of the linter put files of one test together: constants of one name in two files, structured bindings in closures, which clang 14 rejects, copies and growing vectors. No check changes.

--- a/src/libs/httpio/fetch.h
+++ b/src/libs/httpio/fetch.h
@@ -28,8 +28,8 @@
 /// response to `done`. Fails with InvalidArgument if the address is invalid,
 /// with Unavailable if nothing was sent, and with UnknownResult if the request
 /// may have been processed, also when `deadline` passes first. Fails with
-/// ResourceExhausted if the body of the response exceeds `maxBytes`; the request
-/// may have been processed then too.
+/// ResourceExhausted if the body of the response exceeds `maxBytes`; the
+/// request may have been processed then too.
 void fetch(ClientPool &pool, asio::io_context &loop, const std::string &peer,
            const Http::Request &request, Utils::TimePoint deadline,
            FetchCallback done, ConnectionUse use = ConnectionUse::Pooled,
--- a/tests/auto/crashingrequests/simulatedfleet.cpp
+++ b/tests/auto/crashingrequests/simulatedfleet.cpp
@@ -12,14 +12,14 @@
 constexpr auto Step = 5ms;
 /// The operators' bound on the time in which all gateways act on what one of
 /// them has learned.
-constexpr auto ContactTime = 3000ms;
+constexpr auto FleetContactTime = 3000ms;
 constexpr auto RestartTime = 3000ms;
-constexpr int CrashesBeforeBound = 3;
+constexpr int FleetCrashesBeforeBound = 3;
 constexpr int MaxClientTries = 3;
 constexpr auto ClientPause = 200ms;
 /// As TableLifetime of a gateway: after it, one that hears no holder is alone.
 constexpr auto AloneAfter = 1500ms;
-const Quarantine::Part Deadly = requestPart(7);
+const Quarantine::Part DeadlyRequest = requestPart(7);
 
 } // namespace
 
@@ -27,7 +27,7 @@
     : Scene(scene), Random(seed), Members(scene.Gateways),
       DownUntil(scene.Endpoints) {
   Holder.emplace();
-  HolderSince = Now - ContactTime;
+  HolderSince = Now - FleetContactTime;
   auto interval = Gateway::reportInterval(uint32_t(scene.Gateways));
   for (Member &it : Members)
     it.NextReportAt = Now + Milliseconds(draw(int(interval.count())));
@@ -52,7 +52,7 @@
 bool SimulatedFleet::isInTouch(size_t gateway) const {
   return gateway >= Scene.Lossy &&
          (gateway >= Scene.CutOff ||
-          Now >= Start + Scene.CutOffUntil + ContactTime);
+          Now >= Start + Scene.CutOffUntil + FleetContactTime);
 }
 
 void SimulatedFleet::arrive(Call call) {
@@ -85,7 +85,7 @@
   ++call.Runs;
   call.SentAt = Now;
   call.EndsAt = Now + Milliseconds(call.Deadly ? 5 + draw(100) : 20 + draw(80));
-  if (call.Deadly && ThirdCrashAt && Now > *ThirdCrashAt + ContactTime &&
+  if (call.Deadly && ThirdCrashAt && Now > *ThirdCrashAt + FleetContactTime &&
       isInTouch(call.Gateway))
     ++Out.SentAfterBound;
   Running.push_back(call);
@@ -101,7 +101,7 @@
 void SimulatedFleet::crash(const Call &cause) {
   const size_t endpoint = cause.Endpoint;
   ++Out.Ended;
-  if (Out.Ended == CrashesBeforeBound)
+  if (Out.Ended == FleetCrashesBeforeBound)
     ThirdCrashAt = Now;
   DownUntil[endpoint] = Now + RestartTime;
   std::vector<Call> broken = {cause};
@@ -217,7 +217,7 @@
     step();
     for (; nextDeadly <= Now; nextDeadly += Scene.DeadlyInterval) {
       Call call;
-      call.Request = Deadly;
+      call.Request = DeadlyRequest;
       call.Deadly = true;
       arrive(call);
     }
--- a/tests/auto/endlessanswers/fetches.cpp
+++ b/tests/auto/endlessanswers/fetches.cpp
@@ -102,7 +102,9 @@
     if (it.Place.find("other call") != std::string::npos)
       continue;
     Server.Respond = [&](const Http::Request &) { return it.script(); };
-    for (const auto &[name, call] : calls()) {
+    for (const auto &entry : calls()) {
+      const auto &name = entry.first;
+      const auto &call = entry.second;
       CAPTURE(it.Place);
       CAPTURE(name);
       bool isEngine = name == "report" || name == "order";
@@ -126,7 +128,9 @@
                   "response without end that arrives slowly ends by the "
                   "deadline, and the next call succeeds") {
   for (const EndlessAnswer &it : endlessAnswers())
-    for (const auto &[name, call] : calls()) {
+    for (const auto &entry : calls()) {
+      const auto &name = entry.first;
+      const auto &call = entry.second;
       CAPTURE(it.Place);
       CAPTURE(name);
       EndlessAnswer slow = it;
@@ -143,7 +147,9 @@
                : Script{"HTTP/1.1 200 X\r\nContent-Length: 9\r\n\r\n"
                         "{\"end\":2}"};
   };
-  for (const auto &[name, call] : calls())
+  for (const auto &entry : calls()) {
+    const auto &name = entry.first;
+    const auto &call = entry.second;
     if (name == "append" || name == "order") {
       CAPTURE(name);
       CHECK(run(
@@ -152,4 +158,5 @@
           },
           SIZE_MAX));
     }
+  }
 }
--- a/tests/auto/endlessanswers/manycalls.cpp
+++ b/tests/auto/endlessanswers/manycalls.cpp
@@ -65,6 +65,7 @@
     answerWith(part);
     size_t before = endless().Requests.size();
     std::vector<RawCaller *> callers;
+    callers.reserve(calls);
     for (int i = 0; i < calls; ++i)
       callers.push_back(&call(prefix));
     runUntil([&] { return endless().Requests.size() == before + calls; });
--- a/tests/auto/engine/endless.cpp
+++ b/tests/auto/engine/endless.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr auto CallTimeout = 60s;
+constexpr auto EndlessCallTimeout = 60s;
 /// What the buffers of two sockets may take up beyond what the client reads.
 constexpr size_t SocketSlackBytes = 32 << 20;
 static_assert(SocketSlackBytes < EndlessServer::MaxSentBytes);
@@ -58,7 +58,7 @@
     Engine::Call call;
     call.RequestId = "q";
     call.Path = "/x";
-    call.Deadline = std::chrono::steady_clock::now() + CallTimeout;
+    call.Deadline = std::chrono::steady_clock::now() + EndlessCallTimeout;
     Engine::ResponseSink sink;
     sink.OnHead = [](const Engine::ResponseHead &) { return true; };
     sink.OnBody = [](std::string_view) { return true; };
@@ -86,7 +86,9 @@
       {"load", [](const auto &it) { return bool(it.Load({})); }},
   };
   for (const EndlessAnswer &it : answers)
-    for (const auto &[name, request] : requests) {
+    for (const auto &entry : requests) {
+      const std::string &name = entry.first;
+      const Request &request = entry.second;
       CAPTURE(it.Place);
       CAPTURE(name);
       EndlessServer server(it.Begin, it.Repeated);
--- a/tests/auto/engine/endlessserver.cpp
+++ b/tests/auto/engine/endlessserver.cpp
@@ -7,9 +7,9 @@
 
 namespace {
 
-constexpr int PollMs = 20;
+constexpr int AcceptPollMs = 20;
 
-bool sendAll(int socket, const std::string &bytes) {
+bool sendWhole(int socket, const std::string &bytes) {
   size_t sent = 0;
   while (sent < bytes.size()) {
     ssize_t n =
@@ -51,14 +51,14 @@
 
 void EndlessServer::run() {
   pollfd it{Listener, POLLIN, 0};
-  while (!Stopping && poll(&it, 1, PollMs) <= 0)
+  while (!Stopping && poll(&it, 1, AcceptPollMs) <= 0)
     continue;
   if (Stopping)
     return;
   int socket = accept(Listener, nullptr, nullptr);
   char buf[4096];
-  if (recv(socket, buf, sizeof(buf), 0) > 0 && sendAll(socket, Begin))
-    while (SentBytes < MaxSentBytes && sendAll(socket, Repeated))
+  if (recv(socket, buf, sizeof(buf), 0) > 0 && sendWhole(socket, Begin))
+    while (SentBytes < MaxSentBytes && sendWhole(socket, Repeated))
       SentBytes += Repeated.size();
   close(socket);
 }
--- a/tests/auto/gatewayprocesses/storestandin.cpp
+++ b/tests/auto/gatewayprocesses/storestandin.cpp
@@ -158,11 +158,11 @@
 
 /// Requires the lock.
 void StoreStandin::answer(httplib::Response &response, int status,
-                          std::string body, const char *type) {
+                          const std::string &body, const char *type) {
   response.status = status;
   response.set_header("Store-Era", std::to_string(Era));
   if (!Chunked)
-    return response.set_content(std::move(body), type);
+    return response.set_content(body, type);
   response.set_chunked_content_provider(
       type, [body](size_t, httplib::DataSink &sink) {
         size_t half = body.size() / 2;
@@ -229,7 +229,7 @@
       break;
     body += toBigEndian(content.size(), 4) + content;
   }
-  answer(response, 200, std::move(body), "application/octet-stream");
+  answer(response, 200, body, "application/octet-stream");
 }
 
 void StoreStandin::readNewest(const httplib::Request &request,
--- a/tests/auto/gatewayprocesses/storestandin.h
+++ b/tests/auto/gatewayprocesses/storestandin.h
@@ -71,7 +71,7 @@
   void append(const httplib::Request &request, httplib::Response &response);
   void read(const httplib::Request &request, httplib::Response &response);
   void readNewest(const httplib::Request &request, httplib::Response &response);
-  void answer(httplib::Response &response, int status, std::string body,
+  void answer(httplib::Response &response, int status, const std::string &body,
               const char *type = "application/json");
 
   std::mutex Mutex;
--- a/tests/auto/support/child.cpp
+++ b/tests/auto/support/child.cpp
@@ -25,6 +25,7 @@
   argv.push_back(nullptr);
   // The first of several values of a variable counts.
   std::vector<char *> environment;
+  environment.reserve(variables.size() + 1);
   for (const std::string &it : variables)
     environment.push_back(const_cast<char *>(it.c_str()));
   for (char **it = environ; *it; ++it)
