--- a/tests/auto/configvariants/tst_configvariants.cpp
+++ b/tests/auto/configvariants/tst_configvariants.cpp
@@ -44,6 +44,7 @@
 
 } // namespace
 
+// Guards against an added route that gateways answer with 404.
 TEST_CASE_FIXTURE(VariantFixture, "added route, numbers have a fraction of 0") {
   json configuration = GatewayFleet::deskWithRoute(2);
   json &route = configuration["routes"][1];
@@ -60,6 +61,7 @@
   checkServed();
 }
 
+// Guards against an added route that gateways answer with 404.
 TEST_CASE_FIXTURE(VariantFixture, "added route, members are unknown") {
   json unknown = {{"a", json::array({1, {{"b", nullptr}}})}};
   json configuration = GatewayFleet::deskWithRoute(2);
@@ -72,6 +74,7 @@
   checkServed();
 }
 
+// Guards against an added route that gateways answer with 404.
 TEST_CASE_FIXTURE(VariantFixture, "added route, names are not ASCII") {
   json configuration = GatewayFleet::deskWithRoute(2);
   configuration["routes"][1]["name"] = "caf\xc3\xa9 \"quoted\"\n\x01";
@@ -94,6 +97,7 @@
   CHECK(Fleet.awaitStatus(503, {"/added/x"}, Timeout));
 }
 
+// Guards against an added route that gateways answer with 404.
 TEST_CASE_FIXTURE(VariantFixture, "added route, it is split") {
   json configuration = GatewayFleet::deskWithRoute(2);
   json &route = configuration["routes"][1];
@@ -110,6 +114,7 @@
   checkServed({"/old/x"});
 }
 
+// Guards against an added route that gateways answer with 404.
 TEST_CASE_FIXTURE(VariantFixture, "added route, its kind is unknown") {
   json configuration = GatewayFleet::deskWithRoute(2);
   configuration["routes"][1]["kind"] = "batch";
@@ -117,6 +122,7 @@
   checkServed();
 }
 
+// Guards against an added route that gateways answer with 404.
 TEST_CASE_FIXTURE(VariantFixture, "added route, the configuration is large") {
   for (size_t megabytes : {2, 5}) {
     CAPTURE(megabytes);
@@ -135,6 +141,7 @@
   checkServed({"/added5/x"});
 }
 
+// Guards against an added route that gateways answer with 404.
 TEST_CASE_FIXTURE(VariantFixture, "added route, the store answers in chunks") {
   Fleet.store().answerInChunks();
   Fleet.configure(GatewayFleet::deskWithRoute(2));
@@ -144,6 +151,7 @@
   checkServed();
 }
 
+// Guards against an added route that gateways answer with 404.
 TEST_CASE_FIXTURE(VariantFixture,
                   "added route, many versions are written at once") {
   std::vector<std::pair<std::string, std::string>> records;
@@ -165,6 +173,7 @@
   checkServed();
 }
 
+// Guards against an added route that gateways answer with 404.
 TEST_CASE_FIXTURE(VariantFixture, "added route, records were deleted") {
   // The store is away while the version is written and its records deleted.
   Fleet.store().leave(StoreStandin::Absence::Reset);
@@ -175,6 +184,7 @@
   checkServed();
 }
 
+// Guards against an added route that gateways answer with 404.
 TEST_CASE_FIXTURE(VariantFixture, "added route, the store did not answer") {
   Fleet.store().leave(StoreStandin::Absence::Unanswered);
   Fleet.configure(GatewayFleet::deskWithRoute(2));
@@ -183,6 +193,7 @@
   checkServed();
 }
 
+// Guards against an added route that gateways answer with 404.
 TEST_CASE_FIXTURE(VariantFixture,
                   "added route, the configuration was dropped before") {
   Fleet.store().put("keyed.op", "config", std::nullopt);
@@ -203,6 +214,7 @@
   CHECK(Fleet.awaitStatus(404, {"/never/x"}, Timeout));
 }
 
+// Guards against an added route that gateways answer with 404.
 TEST_CASE_FIXTURE(VariantFixture,
                   "added route, the host is written in other forms") {
   Fleet.configure(GatewayFleet::deskWithRoute(2));
@@ -221,6 +233,7 @@
   checkServed({"/later/x"});
 }
 
+// Guards against an added route that gateways answer with 404.
 TEST_CASE_FIXTURE(VariantFixture,
                   "added route, the target of the request is absolute") {
   Fleet.configure(GatewayFleet::deskWithRoute(2));
--- a/tests/auto/crashingrequests/crashingfleet.cpp
+++ b/tests/auto/crashingrequests/crashingfleet.cpp
@@ -124,6 +124,7 @@
   playAll(scene);
 }
 
+// Guards against evidence of crashes that is lost with its holder.
 TEST_CASE("request that crashes endpoints, two holders killed in a row, ends "
           "a bounded number of endpoints") {
   FleetScene scene;
@@ -141,6 +142,7 @@
   playAll(scene);
 }
 
+// Guards against crashes that are counted only if their first report arrives.
 TEST_CASE(
     "request that crashes endpoints, half of the gateways lose a third of "
     "their messages, is not sent by the others after the bound") {
--- a/tests/auto/crashingrequests/requestledger.cpp
+++ b/tests/auto/crashingrequests/requestledger.cpp
@@ -125,6 +125,7 @@
   CHECK_FALSE(refuses({Sound}));
 }
 
+// Guards against sound requests held back for minutes beside a crash.
 TEST_CASE_FIXTURE(RequestLedger,
                   "requests that no crash tells apart are held back for a "
                   "short time, one after the other, until one is answered") {
@@ -142,6 +143,7 @@
   CHECK_FALSE(refuses({Sound}));
 }
 
+// Guards against a request that ends endpoints anew after each short period.
 TEST_CASE_FIXTURE(RequestLedger,
                   "request whose quarantine has lapsed is quarantined for "
                   "minutes at its next crash, also by a later holder") {
--- a/tests/auto/restartedgateways/tst_restartedgateways.cpp
+++ b/tests/auto/restartedgateways/tst_restartedgateways.cpp
@@ -70,6 +70,7 @@
   CHECK(before.count(404) == 0);
 }
 
+// Guards against a withdrawn key that a restart admits again.
 TEST_CASE_FIXTURE(RestartFixture,
                   "older copy and the holder dead, gateway that starts does "
                   "not admit the key that another one knows to be withdrawn") {
--- a/tests/auto/sitewire/tst_sitewire.cpp
+++ b/tests/auto/sitewire/tst_sitewire.cpp
@@ -178,6 +178,7 @@
   CHECK(*head.Headers.find("Request-Id") == "r1");
 }
 
+// Guards against an endpoint that is unknown for a null member.
 TEST_CASE("optional member of an endpoint's entry or report that is null "
           "counts as missing") {
   json text = entry();
--- a/tests/auto/topicfeed/tst_topicfeed.cpp
+++ b/tests/auto/topicfeed/tst_topicfeed.cpp
@@ -248,6 +248,7 @@
   CHECK(Snapshots.size() == 2);
 }
 
+// Guards against a snapshot at each failure of the store.
 TEST_CASE_FIXTURE(PagedTopic, "feed whose read fails repeats it") {
   LogFailure = Utils::Errc::Unavailable;
   FailingOffset = End;
--- a/tests/auto/unreadableconfig/tst_unreadableconfig.cpp
+++ b/tests/auto/unreadableconfig/tst_unreadableconfig.cpp
@@ -56,6 +56,7 @@
 
 } // namespace
 
+// Guards against one unreadable route that costs all others of its version.
 TEST_CASE_FIXTURE(UnreadableFixture,
                   "route cannot be read, the others of its version are served "
                   "and its calls are refused as not run") {
@@ -77,6 +78,7 @@
   checkMetric("hickory_gateway_configuration_entries_unreadable 0");
 }
 
+// Guards against 404 for calls of a route whose prefix cannot be read.
 TEST_CASE_FIXTURE(UnreadableFixture,
                   "prefix of a route cannot be read, calls of its host that no "
                   "other route takes are refused as not run") {
@@ -90,6 +92,7 @@
   CHECK(Fleet.awaitStatus(404, {"/odd/x", "other.example"}));
 }
 
+// Guards against one unreadable service that costs the whole version.
 TEST_CASE_FIXTURE(UnreadableFixture,
                   "service cannot be read, calls to it are refused as not run "
                   "and the others are served") {
@@ -145,6 +148,7 @@
   checkServed(callOf("/old/x"));
 }
 
+// Guards against 404 and 401 by a version that is known not to be the newest.
 TEST_CASE_FIXTURE(UnreadableFixture,
                   "record cannot be read, the version before serves what it "
                   "has and answers neither 404 nor 401") {
