--- a/review/standins-2/case6.cpp
+++ b/review/standins-2/case6.cpp
@@ -1,63 +1,60 @@
 #include "engine.h"
 
+#include <algorithm>
+#include <csignal>
 #include <cstdlib>
 #include <iostream>
 #include <random>
 
-/// One part of a prompt crashes each replica that begins to write an answer on
-/// it. The replicas send the head of a streamed answer when they admit the
-/// request, and the first event 240 ms later. Counts the requests with the part
-/// that reach replicas later than contact_ms after the fifth crash. HEAD_MS
-/// sets another time between head and first event.
+/// The gateway that holds the fleet's duty is stopped as planned and started
+/// again, over and over, while calls wait for models that are loaded for them.
+/// Counts the requests that the stopped gateway had passed on to a replica and
+/// whose connection ends without a complete answer.
 namespace {
 
 using namespace Lab;
 
-constexpr int GatewayCount = 3;
-constexpr int EngineCount = 12;
-constexpr milliseconds DeadlyInterval{700};
-constexpr milliseconds SoundInterval{50};
-constexpr milliseconds ContactTime{3000};
-constexpr milliseconds TimeAfterBound{10'000};
-constexpr milliseconds Limit{100'000};
-constexpr int CrashesBeforeBound = 5;
-constexpr int MaxArrivals = 3;
-const std::string DeadlyPart = "dead0001";
+constexpr int GatewayCount = 8;
+constexpr int EngineCount = 6;
+constexpr int ModelCount = 20;
+constexpr milliseconds RequestInterval{4};
+constexpr milliseconds Deadline{4000};
+/// Answers that are cut off this long before their deadline count.
+constexpr milliseconds DeadlineMargin{200};
+constexpr std::chrono::seconds Grace{8};
+constexpr std::chrono::seconds AfterGrace{1};
+constexpr milliseconds PauseAfterRestart{300};
+constexpr std::chrono::seconds Duration{100};
+constexpr milliseconds Limit{116'000};
 
-std::string requestWith(const std::string &part, int number) {
-  std::string own = std::to_string(100000 + number);
-  std::string body(1300, 'x');
-  return "POST /draft/" + own +
-         " HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: r-" + own +
-         "\r\nModel: m1\r\nToken-Counts: 9190,50\r\nPrompt-Prefix: 5c1e07a2:"
-         "2520," +
-         part + ":3780," + own +
-         ":2890\r\nDeadline-Milliseconds: 5000\r\nCredential: "
-         "key-of-the-club\r\nContent-Length: " +
-         std::to_string(body.size()) + "\r\n\r\n" + body;
-}
+/// A request, as the caller and the replicas saw it.
+struct Sent {
+  int Gateway = 0;
+  Clock::time_point At;
+  bool Arrived = false;
+};
 
 struct Scene {
   Scene(asio::io_context &loop, Record &record, bool trouble)
-      : Loop(loop), Log(record), Directory(makeDirectory()), Platform(loop) {
+      : Loop(loop), Log(record), Trouble(trouble), Directory(makeDirectory()),
+        Platform(loop) {
     Json draft = route("draft", "streaming", "writer", 5000);
     draft["sticky_sessions"] = true;
     draft["target_gap_ms"] = 400;
+    std::vector<std::string> models;
+    for (int i = 1; i <= ModelCount; ++i)
+      models.push_back("m" + std::to_string(i));
     Platform.put("keyed.op", "config",
-                 configuration(1, {draft}, {engineService({"m1"})}).dump());
+                 configuration(1, {draft}, {engineService(models)}).dump());
     for (int i = 1; i <= EngineCount; ++i) {
       auto engine = std::make_unique<Engine>(
           loop, Platform, "writer-" + std::to_string(i), record);
       engine->Models = {"m1"};
-      if (const char *ms = std::getenv("HEAD_MS"))
-        engine->PrefillTime = milliseconds(std::atoi(ms));
-      if (trouble)
-        engine->DeadlyPart = DeadlyPart;
-      engine->OnArrival = [this](const Engine &it, const Message &request) {
-        noteArrival(it, request);
-      };
-      engine->OnCrash = [this](const Engine &) {
-        Crashes.push_back(Clock::now());
+      engine->PrefillTime = milliseconds(20);
+      engine->OnArrival = [this](const Engine &, const Message &request) {
+        auto it = Requests.find(request.header("Request-Id"));
+        if (it != Requests.end())
+          it->second.Arrived = true;
       };
       engine->start(engine->id());
       Engines.push_back(std::move(engine));
@@ -67,6 +64,7 @@
           std::make_unique<Gateway>(i, Directory, Platform.address()));
       Gateways.back()->start(true);
     }
+    StoppedAt.resize(GatewayCount);
   }
   ~Scene() {
     Gateways.clear();
@@ -76,32 +74,93 @@
   Scene(const Scene &) = delete;
   Scene &operator=(const Scene &) = delete;
 
-  void noteArrival(const Engine &engine, const Message &request) {
-    if (request.header("Prompt-Prefix").find(DeadlyPart) == std::string::npos)
-      return;
-    Arrivals.push_back(Clock::now());
-    Log.line("request " + request.header("Request-Id") +
-             " with the part reaches replica " + engine.id());
-  }
-
-  Task<> send(int gateway, std::string request, bool deadly) {
-    ++(deadly ? DeadlySent : SoundSent);
+  Task<> send(int gateway, std::string model) {
+    std::string id = "r-" + std::to_string(++SentCount);
+    Requests[id] = {gateway, Clock::now()};
+    std::string request =
+        "POST /draft/" + id +
+        " HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: " + id +
+        "\r\nModel: " + model +
+        "\r\nToken-Counts: 646,50\r\nPrompt-Prefix: 5c1e07a2:155," +
+        std::to_string(SentCount) +
+        ":491\r\nDeadline-Milliseconds: " + std::to_string(Deadline.count()) +
+        "\r\nCredential: key-of-the-club\r\nContent-Length: 0\r\n\r\n";
     Answer answer =
         co_await call(Gateways[size_t(gateway)]->front(), std::move(request));
-    bool served = answer.Status == 200 && answer.Complete;
-    SoundServed += !deadly && served;
-    if (deadly)
-      Log.line("a request with the part ends with status " +
-               std::to_string(answer.Status) +
-               (answer.Complete ? "" : ", cut off"));
+    Served += answer.Status == 200 && answer.Complete;
+    if (!answer.Complete)
+      noteCutOff(id, answer);
+    Requests.erase(id);
   }
 
-  bool isOver() const {
+  void noteCutOff(const std::string &id, const Answer &answer) {
+    const Sent &sent = Requests[id];
+    const auto &stopped = StoppedAt[size_t(sent.Gateway)];
     auto now = Clock::now();
-    if (int(Crashes.size()) >= CrashesBeforeBound)
-      return now >=
-             Crashes[CrashesBeforeBound - 1] + ContactTime + TimeAfterBound;
-    return now >= StartedAt + std::chrono::seconds(30);
+    if (!sent.Arrived || now > sent.At + Deadline - DeadlineMargin ||
+        !stopped || now > *stopped + Grace + AfterGrace)
+      return;
+    ++Lost;
+    auto ms = [](auto time) {
+      return std::to_string(
+          std::chrono::duration_cast<milliseconds>(time).count());
+    };
+    Log.line("request " + id + " to " + Gateways[size_t(sent.Gateway)]->name() +
+             " was passed on; its " +
+             (answer.Status == 0 ? "connection ends without an answer "
+                                 : "answer is cut off ") +
+             ms(now - sent.At) + " ms after it was sent, " +
+             ms(now - *stopped) + " ms after SIGTERM");
+  }
+
+  /// Index of the gateway that last wrote to the store under a condition.
+  int holder() const {
+    std::string record = Platform.value("keyed.duty", "holder");
+    size_t at = record.find("front-");
+    return at == std::string::npos ? 0 : std::atoi(&record[at + 6]) - 1;
+  }
+
+  Task<> sendAll() {
+    std::mt19937 random(7);
+    auto next = Clock::now();
+    while (!Over) {
+      std::string model = "m1";
+      if (random() % 3 == 0)
+        model = "m" + std::to_string(2 + random() % (ModelCount - 1));
+      asio::co_spawn(Loop, send(int(random() % GatewayCount), model),
+                     asio::detached);
+      next += RequestInterval;
+      co_await pause(std::chrono::ceil<milliseconds>(
+          std::max(next, Clock::now()) - Clock::now()));
+    }
+  }
+
+  Task<> stop(int gateway) {
+    Gateway &it = *Gateways[size_t(gateway)];
+    auto at = Clock::now();
+    StoppedAt[size_t(gateway)] = at;
+    it.signal(SIGTERM);
+    ++Stops;
+    bool ended = false;
+    while (!ended && Clock::now() < at + Grace) {
+      co_await pause(milliseconds(5));
+      ended = it.hasEnded();
+    }
+    if (!ended)
+      it.kill();
+    if (it.endSignal() != 0) {
+      ++Crashes;
+      auto ms =
+          std::chrono::duration_cast<milliseconds>(Clock::now() - at).count();
+      Log.line(it.name() + ", which held the duty, ends by signal " +
+               std::to_string(it.endSignal()) + ", " + std::to_string(ms) +
+               " ms after SIGTERM");
+    }
+    // The connections that the end of the process has closed are noticed first.
+    co_await pause(milliseconds(100));
+    StoppedAt[size_t(gateway)].reset();
+    it.start(false);
+    co_await pause(PauseAfterRestart);
   }
 
   Task<int> play() {
@@ -112,62 +171,45 @@
         co_return CouldNotRun;
       }
     }
-    co_await pause(milliseconds(3000));
-    Log.line("traffic starts");
-    std::mt19937 random(1);
-    StartedAt = Clock::now();
-    auto next = StartedAt;
-    for (int n = 0; !isOver(); ++n) {
-      bool deadly = n % int(DeadlyInterval / SoundInterval) == 0;
-      std::string part =
-          deadly ? DeadlyPart : "a" + std::to_string(1000 + random() % 20);
-      asio::co_spawn(
-          Loop,
-          send(int(random() % GatewayCount), requestWith(part, n), deadly),
-          asio::detached);
-      next += SoundInterval;
-      co_await pause(std::chrono::ceil<milliseconds>(
-          std::max(next, Clock::now()) - Clock::now()));
+    co_await pause(milliseconds(1500));
+    asio::co_spawn(Loop, sendAll(), asio::detached);
+    auto until = Clock::now() + Duration;
+    while (Clock::now() < until && Lost == 0) {
+      if (Trouble)
+        co_await stop(holder());
+      else
+        co_await pause(milliseconds(1000));
+      if (!Trouble && Clock::now() > until - Duration * 7 / 10)
+        break;
     }
-    co_return verdict();
-  }
-
-  int verdict() {
-    for (const auto &it : Gateways)
-      if (it->hasEnded()) {
-        Log.line(it->name() + " has ended by itself");
-        return CouldNotRun;
-      }
-    auto bound = Clock::time_point::max();
-    if (int(Crashes.size()) >= CrashesBeforeBound)
-      bound = Crashes[CrashesBeforeBound - 1] + ContactTime;
-    long late = std::count_if(Arrivals.begin(), Arrivals.end(),
-                              [&](auto it) { return it > bound; });
+    Over = true;
     std::string text =
-        "crashes: " + std::to_string(Crashes.size()) +
-        ", requests with the part sent: " + std::to_string(DeadlySent) +
-        ", arrived: " + std::to_string(Arrivals.size()) +
-        ", later than contact_ms after the fifth crash: " +
-        std::to_string(late) +
-        " (3 are allowed); sound sent: " + std::to_string(SoundSent) +
-        ", served: " + std::to_string(SoundServed);
+        "planned stops of the holder: " + std::to_string(Stops) +
+        ", of which ended by a signal: " + std::to_string(Crashes) +
+        ", requests lost: " + std::to_string(Lost) +
+        " (0 are allowed); sent: " + std::to_string(SentCount) +
+        ", served: " + std::to_string(Served);
     Log.line(text);
     std::cout << text << std::endl;
-    return late > MaxArrivals ? Broken : Held;
+    co_return Lost > 0 ? Broken : Held;
   }
 
   asio::io_context &Loop;
   Record &Log;
+  bool Trouble;
   std::string Directory;
   Store Platform;
   std::vector<std::unique_ptr<Engine>> Engines;
   std::vector<std::unique_ptr<Gateway>> Gateways;
-  std::vector<Clock::time_point> Crashes;
-  std::vector<Clock::time_point> Arrivals;
-  Clock::time_point StartedAt;
-  int DeadlySent = 0;
-  int SoundSent = 0;
-  int SoundServed = 0;
+  /// When each gateway got SIGTERM; none if it runs.
+  std::vector<std::optional<Clock::time_point>> StoppedAt;
+  std::map<std::string, Sent> Requests;
+  int SentCount = 0;
+  int Served = 0;
+  int Lost = 0;
+  int Stops = 0;
+  int Crashes = 0;
+  bool Over = false;
 };
 
 } // namespace
--- a/review/standins-2/lab.cpp
+++ b/review/standins-2/lab.cpp
@@ -320,11 +320,34 @@
     Tcp::socket socket = co_await Acceptor->async_accept(use_awaitable);
     auto wire = std::make_shared<Wire>(std::move(socket));
     Wires.insert(wire);
-    asio::co_spawn(Loop, serve(wire), ignore);
+    asio::co_spawn(Loop, serve(wire, ""), ignore);
   }
 }
 
-Task<> Store::serve(std::shared_ptr<Wire> wire) {
+std::string Store::addressFor(const std::string &caller) {
+  auto [it, added] = Callers.try_emplace(
+      caller, Loop, Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+  if (added)
+    asio::co_spawn(Loop, acceptFrom(&it->second, caller), ignore);
+  return textOf(it->second.local_endpoint());
+}
+
+Task<> Store::acceptFrom(Tcp::acceptor *acceptor, std::string caller) {
+  for (;;) {
+    Tcp::socket socket = co_await acceptor->async_accept(use_awaitable);
+    auto wire = std::make_shared<Wire>(std::move(socket));
+    asio::co_spawn(Loop, serve(wire, caller), ignore);
+  }
+}
+
+void Store::turnAway(const std::string &caller, bool away) {
+  if (away)
+    TurnedAway.insert(caller);
+  else
+    TurnedAway.erase(caller);
+}
+
+Task<> Store::serve(std::shared_ptr<Wire> wire, std::string caller) {
   bool open = true;
   while (open) {
     auto request = co_await wire->readHead();
@@ -337,7 +360,11 @@
     co_await pause(answerTime);
     if (!wire->Socket.is_open())
       break;
-    std::string text = co_await answer(*request);
+    std::string text;
+    if (TurnedAway.count(caller) > 0)
+      text = response(503, "");
+    else
+      text = co_await answer(*request);
     text.insert(text.find("\r\n") + 2,
                 "Store-Era: " + std::to_string(Era) + "\r\n");
     open = wire->Socket.is_open();
@@ -606,8 +633,11 @@
 }
 
 bool Gateway::hasEnded() {
-  if (Pid > 0 && waitpid(Pid, nullptr, WNOHANG) == Pid)
+  int status = 0;
+  if (Pid > 0 && waitpid(Pid, &status, WNOHANG) == Pid) {
     Pid = 0;
+    EndSignal = WIFSIGNALED(status) ? WTERMSIG(status) : 0;
+  }
   return Pid <= 0;
 }
 
--- a/review/standins-2/lab.h
+++ b/review/standins-2/lab.h
@@ -104,6 +104,11 @@
 
   explicit Store(asio::io_context &loop);
   std::string address() const;
+  /// A further address, at which the store can turn callers away.
+  std::string addressFor(const std::string &caller);
+  /// Answers each call at the caller's address with 503, which says that
+  /// nothing was done, until it is called with false.
+  void turnAway(const std::string &caller, bool away);
   Copy copy() const;
   /// Resets all connections and refuses new ones.
   void leave();
@@ -122,7 +127,8 @@
     std::optional<std::string> Value;
   };
   Task<> accept();
-  Task<> serve(std::shared_ptr<Wire> wire);
+  Task<> acceptFrom(Tcp::acceptor *acceptor, std::string caller);
+  Task<> serve(std::shared_ptr<Wire> wire, std::string caller);
   Task<std::string> answer(const Message &request);
   std::string append(const Message &request);
   Task<std::string> read(const Message &request);
@@ -133,6 +139,8 @@
   Tcp::endpoint Address;
   std::unique_ptr<Tcp::acceptor> Acceptor;
   std::set<std::shared_ptr<Wire>> Wires;
+  std::map<std::string, Tcp::acceptor> Callers;
+  std::set<std::string> TurnedAway;
   uint64_t Era = 1;
   std::map<std::string, std::vector<Entry>> Topics;
 };
@@ -198,6 +206,8 @@
   void kill();
   /// Whether the process has ended; reaps it.
   bool hasEnded();
+  /// Signal that ended the process; 0 if it exited.
+  int endSignal() const { return EndSignal; }
   Tcp::endpoint front() const;
   Tcp::endpoint ready() const;
   std::string name() const { return Name; }
@@ -210,6 +220,7 @@
   std::string Directory;
   std::string StoreAddress;
   pid_t Pid = 0;
+  int EndSignal = 0;
 };
 
 /// How a request of a caller has ended.
