Review: the final form of the planned stop of the holder, with its result

Cause of the earlier misses: with 20 models nearly all are loaded after some seconds, so that few calls wait and the holder's timers are seldom pending. Done: 70 models, the load of the sheet, and one processor for each fleet.

--- a/review/standins-2/case6.cpp
+++ b/review/standins-2/case6.cpp
@@ -5,6 +5,9 @@
 #include <cstdlib>
 #include <iostream>
 #include <random>
+#include <sched.h>
+#include <thread>
+#include <unistd.h>
 
 /// The gateway that holds the fleet's duty is stopped as planned and started
 /// again, over and over, while calls wait for models that are loaded for them.
@@ -16,18 +19,18 @@
 
 constexpr int GatewayCount = 8;
 constexpr int EngineCount = 6;
-constexpr int ModelCount = 20;
-/// Twice the requests of the sheet.
-constexpr milliseconds RequestInterval{4};
-/// Four of five requests ask for one of the rare models.
-constexpr int RareOutOfFive = 4;
+constexpr int ModelCount = 70;
+/// The sheet has 512 requests a second.
+constexpr milliseconds RequestInterval{2};
+/// Two of three requests ask for one of the rare models.
+constexpr int RareOutOfThree = 2;
 constexpr milliseconds Deadline{4000};
 /// Answers that are cut off this long before their deadline count.
 constexpr milliseconds DeadlineMargin{200};
 constexpr std::chrono::seconds Grace{8};
 constexpr std::chrono::seconds AfterGrace{1};
 constexpr milliseconds PauseAfterRestart{300};
-constexpr std::chrono::seconds Duration{80};
+constexpr std::chrono::seconds Duration{90};
 constexpr milliseconds Limit{116'000};
 
 /// A request, as the caller and the replicas saw it.
@@ -128,7 +131,7 @@
     auto next = Clock::now();
     while (!Over) {
       std::string model = "m1";
-      if (int(random() % 5) < RareOutOfFive)
+      if (int(random() % 3) < RareOutOfThree)
         model = "m" + std::to_string(2 + random() % (ModelCount - 1));
       asio::co_spawn(Loop, send(int(random() % GatewayCount), model),
                      asio::detached);
@@ -221,6 +224,11 @@
   if (argc < 2)
     return CouldNotRun;
   const char *trouble = std::getenv("TROUBLE");
+  // The gateways inherit it: the fleet has one processor for all.
+  cpu_set_t processors;
+  CPU_ZERO(&processors);
+  CPU_SET(getpid() % long(std::thread::hardware_concurrency()), &processors);
+  sched_setaffinity(0, sizeof(processors), &processors);
   Record record(argv[1]);
   asio::io_context loop(1);
   Scene scene(loop, record, !trouble || std::string(trouble) != "0");
--- a/review/standins-2/lab.cpp
+++ b/review/standins-2/lab.cpp
@@ -6,6 +6,7 @@
 #include <fcntl.h>
 #include <filesystem>
 #include <iostream>
+#include <sched.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -470,12 +471,21 @@
   asio::co_spawn(Loop, beat(Incarnation), ignore);
 }
 
-void Endpoint::crash() {
+Task<> Endpoint::refuse(milliseconds after, uint64_t incarnation) {
+  co_await pause(after);
+  if (incarnation == Incarnation)
+    Acceptor->close();
+}
+
+void Endpoint::crash(milliseconds refuseAfter) {
   if (!Up)
     return;
   Up = false;
   ++Incarnation;
-  Acceptor->close();
+  if (refuseAfter.count() == 0)
+    Acceptor->close();
+  else
+    asio::co_spawn(Loop, refuse(refuseAfter, Incarnation), ignore);
   for (const auto &it : Wires)
     it->close(true);
   Wires.clear();
@@ -607,6 +617,12 @@
     return;
   // A gateway does not outlive a script that is killed.
   prctl(PR_SET_PDEATHSIG, SIGKILL);
+  if (Processor) {
+    cpu_set_t processors;
+    CPU_ZERO(&processors);
+    CPU_SET(*Processor, &processors);
+    sched_setaffinity(0, sizeof(processors), &processors);
+  }
   for (int it = 3; it < 1024; ++it)
     ::close(it);
   int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
--- a/review/standins-2/lab.h
+++ b/review/standins-2/lab.h
@@ -158,9 +158,10 @@
   const std::string &id() const { return Id; }
   /// Starts a new incarnation at the same address.
   void start(const std::string &id);
-  /// Ends the process: resets all connections and refuses new ones. The entry
-  /// in the store lapses after three intervals.
-  void crash();
+  /// Ends the process: resets all connections, and refuses new ones from
+  /// `refuseAfter` later on. The entry in the store lapses after three
+  /// intervals.
+  void crash(milliseconds refuseAfter = milliseconds(0));
   bool isUp() const { return Up; }
 
 protected:
@@ -181,6 +182,7 @@
 private:
   Task<> beat(uint64_t incarnation);
   Task<> lapse(std::string id, uint64_t incarnation);
+  Task<> refuse(milliseconds after, uint64_t incarnation);
   Task<> accept(uint64_t incarnation);
   Task<> talk(std::shared_ptr<Wire> wire, uint64_t incarnation);
 
@@ -202,6 +204,9 @@
   Gateway &operator=(const Gateway &) = delete;
 
   void start(bool firstStart);
+  /// Starts of the process from now on use this processor only, as gateways
+  /// have a share of one.
+  void useProcessor(int number) { Processor = number; }
   void signal(int number) const;
   void kill();
   /// Whether the process has ended; reaps it.
@@ -221,6 +226,7 @@
   std::string StoreAddress;
   pid_t Pid = 0;
   int EndSignal = 0;
+  std::optional<int> Processor;
 };
 
 /// How a request of a caller has ended.
