Run no timer's handler after the end of its owner

Cause: Asio runs the handler of a timer whose time has come with success, even if the timer is cancelled or destroyed before the loop gets there. The handlers of FleetHolder held its bare pointer; the holder ends while the loop runs, when the store has answered the release.

Change: HttpIo::OneShotTimer, whose handler never runs after it was dropped, set again or destroyed, for all 15 timers with a bare pointer (holder, agent, duty keeper, feeds, dispatch queue, process, listener). A holder that ends is destroyed in a turn of its own, as its functions may be on the stack (fenced order).

--- a/cmake/HickoryTargets.cmake
+++ b/cmake/HickoryTargets.cmake
@@ -23,6 +23,9 @@
   target_compile_options(hickory_options INTERFACE
     -fsanitize=${HICKORY_SANITIZE} -fno-omit-frame-pointer -fno-sanitize-recover=all)
   target_link_options(hickory_options INTERFACE -fsanitize=${HICKORY_SANITIZE})
+  # Without it, the order of includes decides which allocator Asio uses in a file, and the address sanitizer reports memory
+  # that one file allocates with operator new and another one frees with free().
+  target_compile_definitions(hickory_options INTERFACE ASIO_DISABLE_STD_ALIGNED_ALLOC)
   # Asio uses atomic_thread_fence, which the thread sanitizer does not support; gcc warns about it under -Wtsan.
   if(HICKORY_SANITIZE STREQUAL "thread")
     target_compile_options(hickory_options INTERFACE -Wno-tsan)
--- a/src/libs/gateway/dispatchqueue.cpp
+++ b/src/libs/gateway/dispatchqueue.cpp
@@ -37,11 +37,8 @@
   if (RetryScheduled || Calls.empty())
     return;
   RetryScheduled = true;
-  RetryTimer.expires_after(DispatchRetryInterval);
-  RetryTimer.async_wait([this](const std::error_code &ec) {
+  RetryTimer.callAfter(DispatchRetryInterval, [this] {
     RetryScheduled = false;
-    if (ec)
-      return;
     retry();
     scheduleRetry();
   });
--- a/src/libs/gateway/dispatchqueue.h
+++ b/src/libs/gateway/dispatchqueue.h
@@ -36,7 +36,7 @@
   void scheduleRetry();
 
   std::vector<std::weak_ptr<Call>> Calls;
-  HttpIo::Timer RetryTimer;
+  HttpIo::OneShotTimer RetryTimer;
   bool RetryScheduled = false;
 };
 
--- a/src/libs/gateway/dutykeeper.cpp
+++ b/src/libs/gateway/dutykeeper.cpp
@@ -108,12 +108,9 @@
   auto now = Utils::BootClock::now();
   if (at == Utils::TimePoint::max())
     return; // The answer to the call in flight schedules the next step.
-  StepTimer.expires_at(std::max(at, now + milliseconds(10)) +
-                       milliseconds(jitter(Random)));
-  StepTimer.async_wait([this](const std::error_code &ec) {
-    if (!ec)
-      step();
-  });
+  StepTimer.callAt(std::max(at, now + milliseconds(10)) +
+                       milliseconds(jitter(Random)),
+                   [this] { step(); });
 }
 
 void DutyKeeper::step() {
--- a/src/libs/gateway/dutykeeper.h
+++ b/src/libs/gateway/dutykeeper.h
@@ -73,7 +73,7 @@
   const Store &Source;
   Duty::Policy Policy;
   Duty::LeaseState State;
-  HttpIo::Timer StepTimer;
+  HttpIo::OneShotTimer StepTimer;
   std::minstd_rand Random;
   bool WasHeld = false;
   /// Number of the step's call in flight; answers to earlier ones are dropped.
--- a/src/libs/gateway/fleetagent.cpp
+++ b/src/libs/gateway/fleetagent.cpp
@@ -116,11 +116,7 @@
 
 void FleetAgent::reportAfter(Utils::Milliseconds delay) {
   NextReportAt = Utils::BootClock::now() + delay;
-  ReportTimer.expires_at(NextReportAt);
-  ReportTimer.async_wait([this](const std::error_code &ec) {
-    if (!ec)
-      report();
-  });
+  ReportTimer.callAt(NextReportAt, [this] { report(); });
 }
 
 void FleetAgent::reportSoon() {
@@ -284,11 +280,8 @@
 void FleetAgent::watchGrantRequests() {
   if (std::exchange(WatchingGrantRequests, true))
     return;
-  TokenTimer.expires_after(GrantRequestTick);
-  TokenTimer.async_wait([this](const std::error_code &ec) {
+  TokenTimer.callAfter(GrantRequestTick, [this] {
     WatchingGrantRequests = false;
-    if (ec)
-      return;
     Utils::TimePoint now = Utils::BootClock::now();
     Ctx.OnDecisions(Self.expireAcquires(now));
     if (!Self.hasPendingAcquires()) {
@@ -338,8 +331,7 @@
   if (Duty.lease().HeldToken == 0) {
     if (Holder && Duty.lease().Newest && Duty.lease().Newest->Released)
       Holder->broadcast();
-    Holder.reset();
-    return;
+    return retireHolder();
   }
   FleetHolder::Context context{
       Ctx.Loop,
@@ -369,6 +361,16 @@
     Holder->announce(LastHolderAddress);
 }
 
+/// Ends the holder. Its own functions may be on the call stack, as it learns of
+/// a higher fencing token from an engine's answer, so it is destroyed later.
+void FleetAgent::retireHolder() {
+  if (!Holder)
+    return;
+  Holder->stop();
+  std::shared_ptr<FleetHolder> retired = std::move(Holder);
+  asio::post(Ctx.Loop, [retired] {});
+}
+
 void FleetAgent::recordCrash(const Quarantine::Crash &crash) {
   Self.recordCrash(crash, Utils::BootClock::now());
   reportSoon();
@@ -453,11 +455,8 @@
     request->Incarnation = Incarnation;
     Link.send(to, FleetLink::encode(*request));
   }
-  TransferTimer.expires_at(OperatorsTransfer.nextRequestAt());
-  TransferTimer.async_wait([this](const std::error_code &ec) {
-    if (!ec)
-      sendRecordRequest();
-  });
+  TransferTimer.callAt(OperatorsTransfer.nextRequestAt(),
+                       [this] { sendRecordRequest(); });
 }
 
 void FleetAgent::handleRecordFragment(
--- a/src/libs/gateway/fleetagent.h
+++ b/src/libs/gateway/fleetagent.h
@@ -104,6 +104,7 @@
   void recordStamp(const FleetLink::Heartbeat &heartbeat);
   void handOverToStronger();
   void onDutyChange();
+  void retireHolder();
   void noteColdTime(const Fleet::Endpoint &endpoint);
 
   Context Ctx;
@@ -112,8 +113,8 @@
   DutyKeeper Duty;
   bool DutyRecordRead = false;
   MemberLink Link;
-  HttpIo::Timer ReportTimer;
-  HttpIo::Timer TokenTimer;
+  HttpIo::OneShotTimer ReportTimer;
+  HttpIo::OneShotTimer TokenTimer;
   /// Sequence number of the in-flight grant request; 0 if there is none.
   uint64_t InFlightRequest = 0;
   Utils::TimePoint RequestSentAt{};
@@ -137,7 +138,7 @@
   RecordTransfer OperatorsTransfer;
   /// Gateway that is asked for the records; the holder if empty.
   std::string RelayAddress;
-  HttpIo::Timer TransferTimer;
+  HttpIo::OneShotTimer TransferTimer;
 };
 
 } // namespace Gateway
--- a/src/libs/gateway/fleetholder.cpp
+++ b/src/libs/gateway/fleetholder.cpp
@@ -133,9 +133,14 @@
     EarliestPlanAt = StartedAt + DemandSettleTime;
 }
 
-FleetHolder::~FleetHolder() {
+FleetHolder::~FleetHolder() { stop(); }
+
+void FleetHolder::stop() {
   for (auto &[id, runner] : Runners)
     runner->stop();
+  PlanTimer.cancel();
+  NotifyTimer.cancel();
+  BroadcastTimer.cancel();
 }
 
 void FleetHolder::broadcast() {
@@ -325,10 +330,7 @@
   auto waiting = std::count_if(Members.begin(), Members.end(), [&](auto &it) {
     return isWaiting(it.second, now);
   });
-  NotifyTimer.expires_after(broadcastDelay(uint32_t(waiting)));
-  NotifyTimer.async_wait([this](const std::error_code &ec) {
-    if (ec)
-      return;
+  NotifyTimer.callAfter(broadcastDelay(uint32_t(waiting)), [this] {
     NotifyScheduled = false;
     for (const auto &[name, member] : Members)
       if (isWaiting(member, Utils::BootClock::now()))
@@ -350,10 +352,7 @@
 void FleetHolder::broadcastSoon() {
   if (std::exchange(BroadcastScheduled, true))
     return;
-  BroadcastTimer.expires_after(fullBroadcastDelay());
-  BroadcastTimer.async_wait([this](const std::error_code &ec) {
-    if (ec)
-      return;
+  BroadcastTimer.callAfter(fullBroadcastDelay(), [this] {
     BroadcastScheduled = false;
     broadcast();
   });
--- a/src/libs/gateway/fleetholder.h
+++ b/src/libs/gateway/fleetholder.h
@@ -73,6 +73,8 @@
   FleetHolder(const FleetHolder &) = delete;
   FleetHolder &operator=(const FleetHolder &) = delete;
 
+  /// Ends its work: no order is sent and no plan is made from now on.
+  void stop();
   /// Takes in a gateway's report and answers it with a heartbeat.
   void handleReport(const FleetLink::Report &report);
   /// An answer to this VM has named another limit of the endpoint than before,
@@ -181,14 +183,14 @@
   Residency::StoreLoadLimiter StoreLoads;
   std::vector<FleetLink::EndpointCalls> TotalLoads;
   Utils::TimePoint TotalLoadsAt{};
-  HttpIo::Timer PlanTimer;
+  HttpIo::OneShotTimer PlanTimer;
   /// Time of the scheduled planning run; max() if none is scheduled.
   Utils::TimePoint NextPlanAt = Utils::TimePoint::max();
   /// Planning is rate-limited: no run starts before this time.
   Utils::TimePoint EarliestPlanAt{};
-  HttpIo::Timer NotifyTimer;
+  HttpIo::OneShotTimer NotifyTimer;
   bool NotifyScheduled = false;
-  HttpIo::Timer BroadcastTimer;
+  HttpIo::OneShotTimer BroadcastTimer;
   bool BroadcastScheduled = false;
 };
 
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -152,13 +152,13 @@
   /// Since when another gateway is known to have a newer configuration; none
   /// while none has.
   std::optional<Utils::TimePoint> ConfigurationLackedSince;
-  HttpIo::Timer FleetAnswerTimer;
+  HttpIo::OneShotTimer FleetAnswerTimer;
   /// The highest era of the store that is known.
   StoreEra::Era NewestEra;
   asio::signal_set Signals;
-  HttpIo::Timer HousekeepingTimer;
-  HttpIo::Timer ShutdownTimer;
-  HttpIo::Timer EvacuationTimer;
+  HttpIo::OneShotTimer HousekeepingTimer;
+  HttpIo::OneShotTimer ShutdownTimer;
+  HttpIo::OneShotTimer EvacuationTimer;
   bool ShuttingDown = false;
   Utils::TimePoint ShutdownDeadline;
 };
--- a/src/libs/gateway/holderengines.cpp
+++ b/src/libs/gateway/holderengines.cpp
@@ -406,10 +406,7 @@
   if (at >= NextPlanAt)
     return;
   NextPlanAt = at;
-  PlanTimer.expires_at(at);
-  PlanTimer.async_wait([this](const std::error_code &ec) {
-    if (ec)
-      return;
+  PlanTimer.callAt(at, [this] {
     NextPlanAt = Utils::TimePoint::max();
     Utils::TimePoint begun = Utils::BootClock::now();
     runPlan();
--- a/src/libs/gateway/process.cpp
+++ b/src/libs/gateway/process.cpp
@@ -265,11 +265,7 @@
   auto next = State.FleetView.evacuations().nextInForceAt();
   if (!next)
     return;
-  EvacuationTimer.expires_at(*next);
-  EvacuationTimer.async_wait([this](const std::error_code &ec) {
-    if (!ec)
-      watchEvacuations();
-  });
+  EvacuationTimer.callAt(*next, [this] { watchEvacuations(); });
 }
 
 bool Process::isReady() const {
@@ -335,11 +331,8 @@
 
 void Process::runHousekeeping() {
   State.Connections.closeExpired();
-  HousekeepingTimer.expires_after(HousekeepingInterval);
-  HousekeepingTimer.async_wait([this](const std::error_code &ec) {
-    if (!ec)
-      runHousekeeping();
-  });
+  HousekeepingTimer.callAfter(HousekeepingInterval,
+                              [this] { runHousekeeping(); });
 }
 
 void Process::awaitSignals() {
@@ -383,11 +376,7 @@
     return Loop.stop();
   }
   constexpr milliseconds step{50};
-  ShutdownTimer.expires_after(step);
-  ShutdownTimer.async_wait([this](const std::error_code &ec) {
-    if (!ec)
-      continueShutdown();
-  });
+  ShutdownTimer.callAfter(step, [this] { continueShutdown(); });
 }
 
 } // namespace Gateway
--- a/src/libs/gateway/processupdates.cpp
+++ b/src/libs/gateway/processupdates.cpp
@@ -136,9 +136,8 @@
 /// what it holds counts only once the fleet has answered, or does not.
 void Process::awaitFleetConfiguration() {
   State.ConfigurationConfirmed = false;
-  FleetAnswerTimer.expires_after(FleetAnswerTime);
-  FleetAnswerTimer.async_wait([this](const std::error_code &ec) {
-    if (!ec && !State.lacksConfiguration())
+  FleetAnswerTimer.callAfter(FleetAnswerTime, [this] {
+    if (!State.lacksConfiguration())
       State.ConfigurationConfirmed = true;
   });
 }
--- a/src/libs/gateway/topicfeed.cpp
+++ b/src/libs/gateway/topicfeed.cpp
@@ -145,11 +145,7 @@
 }
 
 void TopicFeed::readAt(Utils::TimePoint at) {
-  ReadTimer.expires_at(at);
-  ReadTimer.async_wait([this](const std::error_code &ec) {
-    if (!ec)
-      read();
-  });
+  ReadTimer.callAt(at, [this] { read(); });
 }
 
 /// The next report may be answered late or by older data: a read is postponed
@@ -182,10 +178,8 @@
     NotBefore = {};
   RetainUntil = retainUntil;
   rereadSnapshot(std::max(Utils::BootClock::now(), NotBefore));
-  RetentionTimer.expires_at(RetainUntil);
-  RetentionTimer.async_wait([this](const std::error_code &ec) {
-    if (!ec)
-      rereadSnapshot(std::max(RetainUntil, NotBefore));
+  RetentionTimer.callAt(RetainUntil, [this] {
+    rereadSnapshot(std::max(RetainUntil, NotBefore));
   });
 }
 
--- a/src/libs/gateway/topicfeed.h
+++ b/src/libs/gateway/topicfeed.h
@@ -98,7 +98,7 @@
   const Store &Source;
   Options Config;
   RecordsCallback OnRecords;
-  HttpIo::Timer ReadTimer;
+  HttpIo::OneShotTimer ReadTimer;
   std::minstd_rand Random;
   /// Era of Next and of the pages.
   StoreEra::Era InEra;
@@ -108,7 +108,7 @@
   uint64_t ReadNumber = 0;
   /// Until then snapshots count as additions.
   Utils::TimePoint RetainUntil{};
-  HttpIo::Timer RetentionTimer;
+  HttpIo::OneShotTimer RetentionTimer;
   /// Pages of the snapshot that were read since SnapshotStartedAt, and the key
   /// after which the next page starts.
   TopicRead SnapshotPages;
--- a/src/libs/httpio/httpio.h
+++ b/src/libs/httpio/httpio.h
@@ -9,6 +9,7 @@
 #include "httpio/connectcheck.h"
 #include "httpio/fetch.h"
 #include "httpio/listener.h"
+#include "httpio/oneshottimer.h"
 #include "httpio/serverconnection.h"
 #include "httpio/socketoptions.h"
 
--- a/src/libs/httpio/listener.cpp
+++ b/src/libs/httpio/listener.cpp
@@ -40,11 +40,7 @@
     it->checkTimeouts(now);
   Connections.remove_if(
       [](const ServerConnectionRef &it) { return !it->isOpen(); });
-  TimeoutTimer.expires_after(TimeoutCheckInterval);
-  TimeoutTimer.async_wait([this](const std::error_code &ec) {
-    if (!ec)
-      closeTimedOut();
-  });
+  TimeoutTimer.callAfter(TimeoutCheckInterval, [this] { closeTimedOut(); });
 }
 
 void Listener::closeIdle() {
--- a/src/libs/httpio/listener.h
+++ b/src/libs/httpio/listener.h
@@ -1,6 +1,7 @@
 #ifndef HTTPIO_LISTENER_H
 #define HTTPIO_LISTENER_H
 
+#include "httpio/oneshottimer.h"
 #include "httpio/serverconnection.h"
 
 #include <asio/io_context.hpp>
@@ -29,7 +30,7 @@
 
   std::shared_ptr<ServerPolicy> Policy;
   Tcp::acceptor Acceptor;
-  Timer TimeoutTimer;
+  OneShotTimer TimeoutTimer;
   std::list<ServerConnectionRef> Connections;
 };
 
