Decide nothing after a start until a running gateway has named its version

Cause: a gateway that starts decided by what it had read until a newer version was known, and only the holder's heartbeats named one. A holder that is back gets no heartbeat, and dropped the reports of the others, which name their version; silence counted as consent after 1.5 s.

Change: gateway/configurationcheck. The duty's record lists up to eight gateways beside its holder; a gateway that starts asks them and refuses all calls with 503 until one that was running has answered, all others turn out to be starting (power lost everywhere), or 1.5 s have passed (5.5 s if the record is older than the store's return). Reports and heartbeats say whether their sender is confirmed.

Datagrams and the duty's record have new formats; the two earlier formats of the record are still read.

--- a/src/libs/duty/duty.cpp
+++ b/src/libs/duty/duty.cpp
@@ -174,6 +174,17 @@
 
 namespace {
 
+/// Gateways that a claim lists: those of the record before, and its holder.
+std::vector<std::string> peersAfterClaim(const LeaseState &state) {
+  if (!state.Newest)
+    return {};
+  std::vector<std::string> out = state.Newest->Peers;
+  std::erase(out, state.Address);
+  if (state.Newest->Address != state.Address)
+    out.push_back(state.Newest->Address);
+  return out;
+}
+
 /// Token of a claim. A record of an earlier era may have been followed by
 /// claims that this VM does not know of.
 int64_t nextToken(const LeaseState &state, const Policy &policy) {
@@ -197,6 +208,7 @@
   record.Notes = step != Step::Claim ? state.Notes
                  : state.Newest      ? state.Newest->Notes
                                      : std::string();
+  record.Peers = step == Step::Claim ? peersAfterClaim(state) : state.Peers;
   record.Former = step == Step::Claim
                       ? formerHoldersAfterClaim(state, policy, now)
                       : formerHolders(state, policy, now);
--- a/src/libs/duty/duty.h
+++ b/src/libs/duty/duty.h
@@ -46,6 +46,9 @@
   std::string Notes{};
   /// Era of the store in which it was written.
   StoreEra::Era InEra{};
+  /// IP:PORT of some other gateways of the fleet, which a gateway that starts
+  /// can ask if the holder has ended.
+  std::vector<std::string> Peers{};
 };
 
 struct Policy {
@@ -96,6 +99,8 @@
   /// Notes that this VM writes as the holder; a claim keeps those of the
   /// previous record.
   std::string Notes;
+  /// Other gateways that this VM writes as the holder.
+  std::vector<std::string> Peers;
 
   /// The newest record; empty if the store has none.
   std::optional<Record> Newest;
--- a/src/libs/duty/serialize.h
+++ b/src/libs/duty/serialize.h
@@ -12,15 +12,27 @@
 
 template <class Archive> void serialize(Archive &archive, Record &it) {
   archive(it.Holder, it.Address, it.Token, it.Released, it.Members, it.Former,
-          it.Notes, it.InEra);
+          it.Notes, it.InEra, it.Peers);
+}
+
+/// Record as it was written before it named other gateways.
+struct RecordWithoutPeers {
+  Record Value;
+};
+
+template <class Archive>
+void serialize(Archive &archive, RecordWithoutPeers &it) {
+  archive(it.Value.Holder, it.Value.Address, it.Value.Token, it.Value.Released,
+          it.Value.Members, it.Value.Former, it.Value.Notes, it.Value.InEra);
 }
 
 /// Record as it was written before it named its era.
-struct EarlierRecord {
+struct RecordWithoutEra {
   Record Value;
 };
 
-template <class Archive> void serialize(Archive &archive, EarlierRecord &it) {
+template <class Archive>
+void serialize(Archive &archive, RecordWithoutEra &it) {
   archive(it.Value.Holder, it.Value.Address, it.Value.Token, it.Value.Released,
           it.Value.Members, it.Value.Former, it.Value.Notes);
 }
--- a/src/libs/fleetlink/fleetlink.cpp
+++ b/src/libs/fleetlink/fleetlink.cpp
@@ -60,7 +60,8 @@
           it.HeartbeatAgeMs, it.Leaving, it.Teams, it.Levels, it.Waiting,
           it.Calls, it.Loads, it.ModelMisses, it.LeavingEndpoints,
           it.UnconfirmedEndpoints, it.Crashes, it.AnsweredParts, it.Quarantined,
-          it.EndpointLimits, it.StoreEra, it.ConfigurationVersion);
+          it.EndpointLimits, it.StoreEra, it.ConfigurationVersion,
+          it.ConfigurationConfirmed);
 }
 template <class Archive> void serialize(Archive &archive, TeamGrant &it) {
   archive(it.Team, it.Level, it.Demand, it.Granted, it.Delays, it.QueueLength);
@@ -92,7 +93,17 @@
           it.TableBaseRevision, it.TableRevision, it.TableComplete,
           it.TableBaseFromStore, it.EncodedEntries, it.Loads, it.Quarantined,
           it.WatchedParts, it.LimitsRevision, it.EndpointLimits, it.StoreEra,
-          it.RecordEra, it.ConfigurationVersion, it.ConfigurationAddress);
+          it.RecordEra, it.ConfigurationVersion, it.ConfigurationAddress,
+          it.ConfigurationConfirmed);
+}
+template <class Archive>
+void serialize(Archive &archive, ConfigurationQuestion &it) {
+  archive(it.Address, it.Incarnation);
+}
+template <class Archive>
+void serialize(Archive &archive, ConfigurationAnswer &it) {
+  archive(it.Address, it.Incarnation, it.StoreEra, it.ConfigurationVersion,
+          it.ConfigurationConfirmed);
 }
 template <class Archive> void serialize(Archive &archive, RecordState &it) {
   archive(it.Next, it.Digest, it.InEra);
@@ -114,8 +125,10 @@
   RecordFragment = 12,
   GrantRequest = 13,
   Grant = 14,
-  Report = 15,
-  Heartbeat = 16
+  Report = 17,
+  Heartbeat = 18,
+  ConfigurationQuestion = 19,
+  ConfigurationAnswer = 20
 };
 
 template <typename T> std::string encodeAs(Kind kind, const T &message) {
@@ -178,6 +191,14 @@
   return encodeAs(Kind::RecordFragment, fragment);
 }
 
+std::string encode(const ConfigurationQuestion &question) {
+  return encodeAs(Kind::ConfigurationQuestion, question);
+}
+
+std::string encode(const ConfigurationAnswer &answer) {
+  return encodeAs(Kind::ConfigurationAnswer, answer);
+}
+
 namespace {
 
 template <typename T> Utils::Outcome<Datagram> decodeAs(std::string_view text) {
@@ -209,6 +230,10 @@
     return decodeAs<RecordRequest>(content);
   case Kind::RecordFragment:
     return decodeAs<RecordFragment>(content);
+  case Kind::ConfigurationQuestion:
+    return decodeAs<ConfigurationQuestion>(content);
+  case Kind::ConfigurationAnswer:
+    return decodeAs<ConfigurationAnswer>(content);
   }
   return Utils::failure(Utils::Errc::Corrupt, "datagram: unknown message kind");
 }
--- a/src/libs/fleetlink/fleetlink.h
+++ b/src/libs/fleetlink/fleetlink.h
@@ -169,6 +169,8 @@
   uint64_t EndpointsNext = 0;
   /// Version of the configuration in force; 0 before the first.
   uint64_t ConfigurationVersion = 0;
+  /// The gateway knows that the fleet had no newer one when it started.
+  bool ConfigurationConfirmed = false;
   /// Capacity of the VM for the holder's work, relative to other VMs.
   uint8_t Strength = 0;
   /// The gateway's newest call to the store has failed.
@@ -312,6 +314,8 @@
   /// the address of one where it is.
   uint64_t ConfigurationVersion = 0;
   std::string ConfigurationAddress;
+  /// As in Report, of the holder's own version.
+  bool ConfigurationConfirmed = false;
   /// Offset up to which the holder has read the operators' topic, and the time
   /// since that was the topic's end.
   uint64_t OperatorsNext = 0;
@@ -349,6 +353,26 @@
   std::vector<EndpointLimit> EndpointLimits;
 };
 
+/// Question of a gateway that starts for the version of the configuration that
+/// another one has in force.
+struct ConfigurationQuestion {
+  /// IP:PORT for the answer.
+  std::string Address;
+  uint64_t Incarnation = 0;
+};
+
+struct ConfigurationAnswer {
+  /// IP:PORT of the gateway that answers.
+  std::string Address;
+  /// Of the gateway that has asked.
+  uint64_t Incarnation = 0;
+  /// Highest era of the store that the gateway knows.
+  StoreEra::Era StoreEra;
+  /// As in Report.
+  uint64_t ConfigurationVersion = 0;
+  bool ConfigurationConfirmed = false;
+};
+
 /// State of the operators' topic at a gateway.
 struct RecordState {
   /// Offset up to which the topic was read.
@@ -401,14 +425,17 @@
 std::string encode(const Grant &grant);
 std::string encode(const RecordRequest &request);
 std::string encode(const RecordFragment &fragment);
+std::string encode(const ConfigurationQuestion &question);
+std::string encode(const ConfigurationAnswer &answer);
 
 /// Encodes levels as a holder stores them for its successors.
 std::string encodeLevels(const std::vector<TeamLevel> &levels);
 /// Corrupt if the bytes are malformed.
 Utils::Outcome<std::vector<TeamLevel>> decodeLevels(std::string_view bytes);
 
-using Datagram = std::variant<Report, Heartbeat, GrantRequest, Grant,
-                              RecordRequest, RecordFragment>;
+using Datagram =
+    std::variant<Report, Heartbeat, GrantRequest, Grant, RecordRequest,
+                 RecordFragment, ConfigurationQuestion, ConfigurationAnswer>;
 /// Corrupt if the bytes are malformed.
 Utils::Outcome<Datagram> decode(std::string_view bytes);
 
--- a/src/libs/gateway/call.cpp
+++ b/src/libs/gateway/call.cpp
@@ -92,8 +92,11 @@
     return false;
   }
   // The store may have come back with a version that is no longer in force.
-  if (!State.ConfigurationConfirmed && State.lacksConfiguration()) {
-    refuse(Unavailable, "newer_configuration", DefaultRetryAfter);
+  if (!State.NewestConfiguration.isConfirmed()) {
+    refuse(Unavailable,
+           State.lacksConfiguration() ? "newer_configuration"
+                                      : "configuration_unconfirmed",
+           DefaultRetryAfter);
     return false;
   }
   if (!findRoute())
@@ -133,7 +136,7 @@
 /// newer one may have it that cannot be decoded, that another gateway has, or
 /// that could not be read within the bound on its age.
 void Call::refuseUnknown(unsigned status, std::string_view reason) {
-  if (State.mayLackConfiguration())
+  if (State.lacksConfiguration())
     return refuse(Unavailable, "newer_configuration", DefaultRetryAfter);
   if (State.FleetView.isBehind())
     return refuse(Unavailable, "configuration_unreadable", DefaultRetryAfter);
--- a/src/libs/gateway/dutykeeper.cpp
+++ b/src/libs/gateway/dutykeeper.cpp
@@ -130,8 +130,11 @@
   auto record = Codec::decode<Duty::Record>(bytes);
   if (record)
     return record;
-  auto earlier = Codec::decode<Duty::EarlierRecord>(bytes);
-  return earlier ? Utils::Outcome<Duty::Record>(earlier->Value) : record;
+  if (auto earlier = Codec::decode<Duty::RecordWithoutPeers>(bytes))
+    return earlier->Value;
+  if (auto earlier = Codec::decode<Duty::RecordWithoutEra>(bytes))
+    return earlier->Value;
+  return record;
 }
 
 } // namespace
@@ -170,6 +173,8 @@
   Utils::TimePoint sentAt = Utils::BootClock::now();
   if (step != Duty::Step::Claim && MakeNotes)
     State.Notes = MakeNotes();
+  if (step != Duty::Step::Claim && ListPeers)
+    State.Peers = ListPeers();
   Duty::Record record = Duty::recordFor(State, Policy, step, sentAt);
   Source.AppendDuty(State.End, Codec::encode(record), sentAt + StoreTimeout,
                     [this, record, sentAt, number = ++CallNumber](
--- a/src/libs/gateway/dutykeeper.h
+++ b/src/libs/gateway/dutykeeper.h
@@ -56,6 +56,8 @@
 
   /// Returns the state that this VM, as the holder, stores for its successors.
   std::function<std::string()> MakeNotes;
+  /// Returns addresses of other gateways for the record.
+  std::function<std::vector<std::string>()> ListPeers;
   /// Called when this VM acquires or loses the duty.
   std::function<void()> OnChange;
   /// Called after the record has been read.
--- a/src/libs/gateway/fleetagent.cpp
+++ b/src/libs/gateway/fleetagent.cpp
@@ -77,11 +77,18 @@
   Duty.setClaimDelay(claimDelay(Strength, unknown) / 2);
   Duty.OnChange = [this] { onDutyChange(); };
   Duty.MakeNotes = [this] { return Holder ? Holder->notes() : ""; };
+  Duty.ListPeers = [this] {
+    return Holder ? Holder->peers() : std::vector<std::string>();
+  };
   Duty.OnRead = [this] { onDutyRecordRead(); };
   Duty.OnStoreCall = [this](bool answered) { noteStoreCall(answered); };
   Link.OnReport = [this](const FleetLink::Report &report) {
     Ctx.OnStoreEra(report.StoreEra);
     Duty.noteToken(report.Token);
+    // Reports also reach a gateway that held the duty before it was restarted.
+    Ctx.OnConfigurationState(
+        report.Address, report.Address,
+        {report.ConfigurationVersion, report.ConfigurationConfirmed});
     if (Holder)
       Holder->handleReport(report);
   };
@@ -100,6 +107,19 @@
   Link.OnRecordFragment = [this](const FleetLink::RecordFragment &fragment) {
     handleRecordFragment(fragment);
   };
+  Link.OnConfigurationQuestion =
+      [this](const FleetLink::ConfigurationQuestion &question) {
+        answerConfiguration(question);
+      };
+  Link.OnConfigurationAnswer =
+      [this](const FleetLink::ConfigurationAnswer &answer) {
+        if (answer.Incarnation != Incarnation)
+          return;
+        Ctx.OnStoreEra(answer.StoreEra);
+        Ctx.OnConfigurationState(
+            answer.Address, answer.Address,
+            {answer.ConfigurationVersion, answer.ConfigurationConfirmed});
+      };
 }
 
 Utils::Status FleetAgent::start() {
@@ -147,8 +167,9 @@
   StoreReadProgress read = Ctx.ReadProgress();
   out.StoreEra = read.InEra;
   out.EndpointsNext = read.EndpointsNext;
-  if (const auto &config = Ctx.FleetView.configuration())
-    out.ConfigurationVersion = config->Version;
+  ConfigurationState configuration = Ctx.OwnConfiguration();
+  out.ConfigurationVersion = configuration.Version;
+  out.ConfigurationConfirmed = configuration.Confirmed;
   out.Waiting = Ctx.Waiting();
   out.Leaving = Leaving;
   out.Strength = Strength;
@@ -170,6 +191,7 @@
   out.Address = Address;
   if (out.ConfigurationAddress.empty())
     out.ConfigurationAddress = Address;
+  out.ConfigurationConfirmed = Ctx.OwnConfiguration().Confirmed;
   out.Released = Duty.lease().Newest && Duty.lease().Newest->Released;
   out.Former = Duty.formerHolders();
   out.StoreCallFailed = Duty.lease().StoreUnreachable;
@@ -212,6 +234,10 @@
   if (auto it = ReportTimes.find(heartbeat.Sequence); it != ReportTimes.end())
     reportedAt = it->second;
   recordStamp(heartbeat);
+  if (heartbeat.Address != Address)
+    Ctx.OnConfigurationState(
+        heartbeat.Address, heartbeat.ConfigurationAddress,
+        {heartbeat.ConfigurationVersion, heartbeat.ConfigurationConfirmed});
   Ctx.OnDecisions(Self.takeDecisions());
   Duty.setMembers(heartbeat.Members);
   Ctx.OnHeartbeat(heartbeat, reportedAt);
@@ -317,10 +343,30 @@
   if (!std::exchange(DutyRecordRead, true) && record && record->Members > 0 &&
       record->Members <= MaxStoreReaders)
     Ctx.OnSmallFleet();
+  Ctx.OnDutyRecord();
   if (!Self.hasLiveHolder(Utils::BootClock::now()))
     reportSoon();
 }
 
+void FleetAgent::askConfiguration(const std::string &address) {
+  FleetLink::ConfigurationQuestion out;
+  out.Address = Address;
+  out.Incarnation = Incarnation;
+  Link.send(address, FleetLink::encode(out));
+}
+
+void FleetAgent::answerConfiguration(
+    const FleetLink::ConfigurationQuestion &question) {
+  ConfigurationState own = Ctx.OwnConfiguration();
+  FleetLink::ConfigurationAnswer out;
+  out.Address = Address;
+  out.Incarnation = question.Incarnation;
+  out.StoreEra = Ctx.ReadProgress().InEra;
+  out.ConfigurationVersion = own.Version;
+  out.ConfigurationConfirmed = own.Confirmed;
+  Link.send(question.Address, FleetLink::encode(out));
+}
+
 /// Hands the duty over if another VM is much stronger than this one.
 void FleetAgent::handOverToStronger() {
   if (Holder && Holder->highestStrength() > Strength * HandoverStrengthRatio)
--- a/src/libs/gateway/fleetagent.h
+++ b/src/libs/gateway/fleetagent.h
@@ -2,6 +2,7 @@
 #define GATEWAY_FLEETAGENT_H
 
 #include "balance/balance.h"
+#include "gateway/configurationcheck.h"
 #include "gateway/dutykeeper.h"
 #include "gateway/fleetholder.h"
 #include "gateway/fleetmember.h"
@@ -36,6 +37,14 @@
     std::function<void(const FleetLink::Heartbeat &,
                        std::optional<Utils::TimePoint> reportedAt)>
         OnHeartbeat;
+    /// What this gateway has in force.
+    std::function<ConfigurationState()> OwnConfiguration;
+    /// The gateway at `address` has named the state of the one at `owner`.
+    std::function<void(const std::string &address, const std::string &owner,
+                       const ConfigurationState &)>
+        OnConfigurationState;
+    /// The record of the duty has been read.
+    std::function<void()> OnDutyRecord;
     /// Calls that waited for tokens were admitted or refused.
     std::function<void(const std::vector<Quota::Decision> &)> OnDecisions;
   };
@@ -72,6 +81,13 @@
   void relayRecords(const std::string &address);
   /// Ends a transfer of the operators' records.
   void endRelay() { OperatorsTransfer.cancel(); }
+  /// Asks the gateway at the address for its version of the configuration.
+  void askConfiguration(const std::string &address);
+  /// Newest record of the fleet's duty, if any is known.
+  const std::optional<Duty::Record> &dutyRecord() const {
+    return Duty.lease().Newest;
+  }
+  const std::string &address() const { return Address; }
   /// Gives up the duty and reports that this gateway leaves the fleet.
   void leave();
 
@@ -98,6 +114,7 @@
   void handleRecordRequest(const FleetLink::RecordRequest &request);
   void handleRecordFragment(const FleetLink::RecordFragment &fragment);
   void sendRecordRequest();
+  void answerConfiguration(const FleetLink::ConfigurationQuestion &question);
   void reportAfter(Utils::Milliseconds delay);
   void send(const std::string &address, const FleetLink::Heartbeat &heartbeat);
   void handleHeartbeat(const FleetLink::Heartbeat &heartbeat);
--- a/src/libs/gateway/fleetholder.cpp
+++ b/src/libs/gateway/fleetholder.cpp
@@ -28,6 +28,10 @@
 /// Lifetime of the cached sum of the gateways' loads; the reports that it sums
 /// are older than that.
 constexpr milliseconds TotalLoadsLifetime{100};
+/// Most other gateways that the duty's record names: enough for one of them to
+/// be alive when a gateway starts, and 200 bytes of a record that is written
+/// every 600 ms.
+constexpr size_t MaxRecordedPeers = 8;
 /// Minimum delay before a heartbeat with a change, which batches changes.
 constexpr milliseconds MinBroadcastDelay{3};
 
@@ -259,6 +263,22 @@
       Limits.levelsToRecord(Utils::BootClock::now()));
 }
 
+std::vector<std::string> FleetHolder::peers() const {
+  Utils::TimePoint now = Utils::BootClock::now();
+  std::vector<std::string> live;
+  for (const auto &[name, member] : Members)
+    if (name != Ctx.Settings.VmName && !member.LatestReport.Leaving &&
+        now < member.ReceivedAt + MemberTimeout)
+      live.push_back(member.LatestReport.Address);
+  if (live.size() <= MaxRecordedPeers)
+    return live;
+  // Spread over the names, which mostly tell the failure domains apart.
+  std::vector<std::string> out;
+  for (size_t i = 0; i < MaxRecordedPeers; ++i)
+    out.push_back(live[i * live.size() / MaxRecordedPeers]);
+  return out;
+}
+
 uint8_t FleetHolder::highestStrength() const {
   Utils::TimePoint now = Utils::BootClock::now();
   uint8_t highest = 0;
--- a/src/libs/gateway/fleetholder.h
+++ b/src/libs/gateway/fleetholder.h
@@ -92,6 +92,9 @@
   /// Levels of the teams' buckets for the next holder, as written to the duty's
   /// record.
   std::string notes();
+  /// Addresses of other live gateways for the duty's record, at most
+  /// MaxRecordedPeers.
+  std::vector<std::string> peers() const;
   /// Highest capacity for the holder's work among live gateways.
   uint8_t highestStrength() const;
   /// Sends a heartbeat to every live gateway now.
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -6,6 +6,7 @@
 #include "balance/balance.h"
 #include "gateway/admissionqueue.h"
 #include "gateway/callwire.h"
+#include "gateway/configurationcheck.h"
 #include "gateway/crashwatch.h"
 #include "gateway/dispatchqueue.h"
 #include "gateway/engineclient.h"
@@ -56,22 +57,21 @@
   std::function<void()> OnSmallFleet;
   std::function<StoreReadProgress()> ReadProgress;
   std::function<void(const StoreEra::Era &)> OnStoreEra;
+  std::function<void(const std::string &address, const std::string &owner,
+                     const ConfigurationState &)>
+      OnConfigurationState;
+  std::function<void()> OnDutyRecord;
   std::function<void(const FleetLink::Heartbeat &,
                      std::optional<Utils::TimePoint> reportedAt)>
       OnHeartbeat;
-  /// Newest version of the configuration that is in force in the fleet, by the
-  /// holder's heartbeats.
-  uint64_t FleetConfigurationVersion = 0;
-  /// This gateway has had that version in force since it first reached the
-  /// store, or nobody has named one. Always true while the store's era is
-  /// unknown.
-  bool ConfigurationConfirmed = true;
+  ConfigurationCheck NewestConfiguration;
+  /// Version of the configuration in force here; 0 before the first.
+  uint64_t configurationVersion() const;
+  /// The same, or the newest version of the fleet if it has been read here and
+  /// could not be decoded: no other gateway can help then.
+  uint64_t versionForCheck() const;
   /// Whether another gateway has a newer version in force.
   bool lacksConfiguration() const;
-  /// Whether a route or a key that is unknown here may be known to the fleet.
-  bool mayLackConfiguration() const {
-    return !ConfigurationConfirmed || lacksConfiguration();
-  }
   /// Calls that have no final answer yet.
   std::map<const Call *, std::weak_ptr<Call>> ActiveCalls;
   /// Times of a planned stop, max() before one: calls that arrive later are
@@ -127,8 +127,11 @@
   void removeUnlisted(Utils::TimePoint asOf);
   void applyOperators(const std::vector<TopicRecord> &records, bool isSnapshot);
   void applyRelayed(const RelayedRecords &relayed);
-  void noteFleetConfiguration(const FleetLink::Heartbeat &heartbeat);
-  void awaitFleetConfiguration();
+  void noteConfigurationState(const std::string &address,
+                              const std::string &owner,
+                              const ConfigurationState &state);
+  void noteDutyRecord();
+  void checkConfiguration();
   /// The store, or a gateway, has named this era of the store.
   void noteStoreEra(const StoreEra::Era &era);
   void applyLimits();
@@ -152,7 +155,7 @@
   /// Since when another gateway is known to have a newer configuration; none
   /// while none has.
   std::optional<Utils::TimePoint> ConfigurationLackedSince;
-  HttpIo::OneShotTimer FleetAnswerTimer;
+  HttpIo::OneShotTimer ConfigurationTimer;
   /// The highest era of the store that is known.
   StoreEra::Era NewestEra;
   asio::signal_set Signals;
--- a/src/libs/gateway/gatewayconstants.h
+++ b/src/libs/gateway/gatewayconstants.h
@@ -71,9 +71,19 @@
 /// some seconds before lacks; an evacuation ends at once when its record is
 /// deleted.
 constexpr milliseconds OperatorsReturnTime{30'000};
-/// Time after the first answer of the store in which the fleet names the newest
-/// version of the configuration: two report intervals.
+/// Time after the first answer of the store in which a running gateway answers
+/// one that starts: 20 times a slow answer, and as long as a frozen VM is still
+/// taken for a live one.
 constexpr milliseconds FleetAnswerTime{1500};
+/// The same if the record of the duty was written before the store came back
+/// from a copy, so that it may list too few gateways: by then a running gateway
+/// has noticed that (a long poll of 1 s) and claimed the duty (a lease of 2 s,
+/// a delay of 1.2 s), and one that starts has read its record (0.3 s) and was
+/// answered.
+constexpr milliseconds UnlistedAnswerTime{5500};
+/// How long the newest version that a gateway has named counts, unless it is
+/// named again: the gateway may have ended before it relayed the version.
+constexpr milliseconds NamedVersionLifetime{5000};
 
 /// Subtracted from the bound on key revocation: time for a call to get from
 /// admission to the endpoint.
--- a/src/libs/gateway/memberlink.cpp
+++ b/src/libs/gateway/memberlink.cpp
@@ -75,6 +75,12 @@
   else if (auto *fragment =
                std::get_if<FleetLink::RecordFragment>(&datagram.value()))
     OnRecordFragment(std::move(*fragment));
+  else if (auto *question =
+               std::get_if<FleetLink::ConfigurationQuestion>(&datagram.value()))
+    OnConfigurationQuestion(std::move(*question));
+  else if (auto *answer =
+               std::get_if<FleetLink::ConfigurationAnswer>(&datagram.value()))
+    OnConfigurationAnswer(std::move(*answer));
 }
 
 } // namespace Gateway
--- a/src/libs/gateway/memberlink.h
+++ b/src/libs/gateway/memberlink.h
@@ -25,6 +25,8 @@
   std::function<void(FleetLink::Grant)> OnGrant;
   std::function<void(FleetLink::RecordRequest)> OnRecordRequest;
   std::function<void(FleetLink::RecordFragment)> OnRecordFragment;
+  std::function<void(FleetLink::ConfigurationQuestion)> OnConfigurationQuestion;
+  std::function<void(FleetLink::ConfigurationAnswer)> OnConfigurationAnswer;
 
 private:
   void receive();
--- a/src/libs/gateway/process.cpp
+++ b/src/libs/gateway/process.cpp
@@ -36,18 +36,26 @@
       Connections(loop),
       FleetView(Clients.PlatformStore, Settings.EvacuationBound),
       PendingDispatch(loop),
-      Coordination({loop, Settings, FleetView, HealthTracker,
-                    Clients.PlatformStore, Clients.Engines,
-                    [this] { return PendingDispatch.summary(); },
-                    [this] { OnDutyTaken(); }, [this] { OnSmallFleet(); },
-                    [this] { return ReadProgress(); },
-                    [this](const auto &era) { OnStoreEra(era); },
-                    [this](const auto &heartbeat, auto reportedAt) {
-                      OnHeartbeat(heartbeat, reportedAt);
-                    },
-                    [this](const auto &decisions) {
-                      PendingAdmission.resolve(decisions);
-                    }}),
+      Coordination(
+          {loop, Settings, FleetView, HealthTracker, Clients.PlatformStore,
+           Clients.Engines, [this] { return PendingDispatch.summary(); },
+           [this] { OnDutyTaken(); }, [this] { OnSmallFleet(); },
+           [this] { return ReadProgress(); },
+           [this](const auto &era) { OnStoreEra(era); },
+           [this](const auto &heartbeat, auto reportedAt) {
+             OnHeartbeat(heartbeat, reportedAt);
+           },
+           [this] {
+             return ConfigurationState{configurationVersion(),
+                                       NewestConfiguration.isConfirmed()};
+           },
+           [this](const auto &address, const auto &owner, const auto &state) {
+             OnConfigurationState(address, owner, state);
+           },
+           [this] { OnDutyRecord(); },
+           [this](const auto &decisions) {
+             PendingAdmission.resolve(decisions);
+           }}),
       Crashes(loop), Random(std::random_device{}()) {
   Crashes.OnCrash = [this](const Quarantine::Crash &crash) {
     MetricsRegistry.add("hickory_gateway_endpoint_crashes_total", "");
@@ -132,7 +140,7 @@
                        State.Coordination.onAllEndpointsRead(
                            EndpointFeed.position());
                    }),
-      FleetAnswerTimer(loop), Signals(loop, SIGTERM, SIGINT),
+      ConfigurationTimer(loop), Signals(loop, SIGTERM, SIGINT),
       HousekeepingTimer(loop), ShutdownTimer(loop), EvacuationTimer(loop) {
   auto noteStoreCall = [this](bool answered) {
     State.Coordination.noteStoreCall(answered);
@@ -153,6 +161,11 @@
   State.OnHeartbeat = [this](const auto &heartbeat, auto reportedAt) {
     onHeartbeat(heartbeat, reportedAt);
   };
+  State.OnConfigurationState = [this](const auto &address, const auto &owner,
+                                      const auto &state) {
+    noteConfigurationState(address, owner, state);
+  };
+  State.OnDutyRecord = [this] { noteDutyRecord(); };
   State.Coordination.OnRelayedRecords = [this](const auto &records) {
     applyRelayed(records);
   };
@@ -165,9 +178,11 @@
   State.FleetView.OnConfiguration = [this] {
     applyLimits();
     State.Coordination.onConfiguration();
+    checkConfiguration();
   };
   State.FleetView.OnConfigurationRejected = [this] {
     State.MetricsRegistry.add("hickory_gateway_configurations_rejected_total");
+    checkConfiguration();
   };
   State.FleetView.OnEvacuations = [this] {
     watchEvacuations();
@@ -269,9 +284,8 @@
 }
 
 bool Process::isReady() const {
-  bool isOutdated = !State.ConfigurationConfirmed && State.lacksConfiguration();
   return !ShuttingDown && State.FleetView.configuration() != nullptr &&
-         !isOutdated && EndpointFeed.hasSnapshot();
+         State.NewestConfiguration.isConfirmed() && EndpointFeed.hasSnapshot();
 }
 
 void Process::onReadinessRequest(const HttpIo::ServerConnectionRef &caller) {
--- a/src/libs/gateway/processupdates.cpp
+++ b/src/libs/gateway/processupdates.cpp
@@ -34,7 +34,6 @@
 
 void Process::onHeartbeat(const FleetLink::Heartbeat &heartbeat,
                           std::optional<Utils::TimePoint> reportedAt) {
-  noteFleetConfiguration(heartbeat);
   if (!State.Coordination.isHolder()) {
     applyEntries(heartbeat);
     if (reportedAt)
@@ -81,8 +80,12 @@
                             EndpointFeed.isComplete());
   uint64_t dutyEnd = State.Coordination.dutyEnd();
   State.Coordination.noteStoreEra(era);
-  if (!before.isKnown())
-    return awaitFleetConfiguration();
+  if (!before.isKnown()) {
+    // Nothing is older than the first start of the fleet.
+    if (!State.Settings.FirstStart)
+      State.NewestConfiguration.begin(now);
+    return noteDutyRecord();
+  }
   Utils::Event("store_era_changed")
       .with("era_before", StoreEra::textOf(before))
       .with("era", StoreEra::textOf(era))
@@ -103,46 +106,86 @@
   State.Coordination.noteOperatorsRecords(
       withConfigurationInForce(records, isSnapshot,
                                State.Clients.PlatformStore.ConfigurationKey,
-                               State.FleetView.configurationText()),
+                               {State.FleetView.configurationText(),
+                                State.FleetView.rejectedText()}),
       isSnapshot);
 }
 
-bool GatewayState::lacksConfiguration() const {
+uint64_t GatewayState::configurationVersion() const {
   const auto &config = FleetView.configuration();
-  return (config ? config->Version : 0) < FleetConfigurationVersion;
+  return config ? config->Version : 0;
+}
+
+uint64_t GatewayState::versionForCheck() const {
+  uint64_t rejected = FleetView.rejectedVersion();
+  return rejected == NewestConfiguration.newestVersion()
+             ? std::max(rejected, configurationVersion())
+             : configurationVersion();
+}
+
+bool GatewayState::lacksConfiguration() const {
+  return NewestConfiguration.lacks(versionForCheck(), Utils::BootClock::now());
+}
+
+void Process::noteConfigurationState(const std::string &address,
+                                     const std::string &owner,
+                                     const ConfigurationState &state) {
+  State.NewestConfiguration.noteState(address, owner, state,
+                                      Utils::BootClock::now());
+  checkConfiguration();
+}
+
+/// Takes from the record of the duty whom to ask for the newest version.
+void Process::noteDutyRecord() {
+  const auto &record = State.Coordination.dutyRecord();
+  std::vector<std::string> gateways;
+  bool areAll = false;
+  bool isCurrent = false;
+  if (record) {
+    gateways = record->Peers;
+    gateways.push_back(record->Address);
+    areAll = record->Members > 0 && gateways.size() >= record->Members;
+    isCurrent = record->InEra == NewestEra;
+    std::erase(gateways, State.Coordination.address());
+  }
+  State.NewestConfiguration.setGateways(std::move(gateways), areAll, isCurrent,
+                                        Utils::BootClock::now());
+  checkConfiguration();
 }
 
 /// Gets a newer configuration from the gateway that has it in force if this one
-/// does not soon read it from the store.
-void Process::noteFleetConfiguration(const FleetLink::Heartbeat &heartbeat) {
-  State.FleetConfigurationVersion = heartbeat.ConfigurationVersion;
+/// does not soon read it from the store, and asks for it after a start.
+void Process::checkConfiguration() {
+  ConfigurationCheck &check = State.NewestConfiguration;
   Utils::TimePoint now = Utils::BootClock::now();
-  if (!State.lacksConfiguration()) {
+  uint64_t own = State.versionForCheck();
+  if (check.update(own, now))
+    Utils::Event("configuration_confirmed")
+        .with("version", own)
+        .with("how", confirmationName(check.confirmation()))
+        .info();
+  for (const std::string &it : check.takeQuestions(now))
+    State.Coordination.askConfiguration(it);
+  if (TimePoint next = check.nextAt(); next < TimePoint::max())
+    ConfigurationTimer.callAt(next, [this] { checkConfiguration(); });
+  if (!check.lacks(own, now)) {
     ConfigurationLackedSince.reset();
-    // A new holder learns the version from the other gateways' reports.
-    bool isTold =
-        !State.Coordination.isHolder() || now >= FleetAnswerTimer.expiry();
-    State.ConfigurationConfirmed = State.ConfigurationConfirmed || isTold;
     return;
   }
   if (!ConfigurationLackedSince)
     ConfigurationLackedSince = now;
-  if (!State.ConfigurationConfirmed ||
-      now >= *ConfigurationLackedSince + SlowStoreLatency)
-    State.Coordination.relayRecords(heartbeat.ConfigurationAddress);
-}
-
-/// The store may have come back from an older copy before this gateway started:
-/// what it holds counts only once the fleet has answered, or does not.
-void Process::awaitFleetConfiguration() {
-  State.ConfigurationConfirmed = false;
-  FleetAnswerTimer.callAfter(FleetAnswerTime, [this] {
-    if (!State.lacksConfiguration())
-      State.ConfigurationConfirmed = true;
-  });
+  bool hasReadOlder =
+      !check.isConfirmed() && State.FleetView.configuration() != nullptr;
+  if (hasReadOlder || now >= *ConfigurationLackedSince + SlowStoreLatency)
+    State.Coordination.relayRecords(check.newestAddress());
 }
 
-void Process::applyRelayed(const RelayedRecords &relayed) {
+void Process::applyRelayed(const RelayedRecords &transferred) {
+  RelayedRecords relayed = transferred;
+  const std::string &key = State.Clients.PlatformStore.ConfigurationKey;
+  for (TopicRecord &it : relayed.Records)
+    if (it.Key == unreadableKey(key)) // Behind the one in force.
+      it.Key = key;
   bool isWhole = ConfigurationFeed.noteRelayed(relayed.Next, relayed.AsOf);
   if (!isWhole && !State.lacksConfiguration())
     return;
@@ -156,11 +199,11 @@
       .with("ms", Utils::msBetween(relayed.RequestedAt, now))
       .info();
   if (isWhole)
-    return applyOperators(relayed.Records, true);
+    return applyOperators(relayed.Records, !ConfigurationFeed.isRetaining(now));
   // Its offset is not newer than this gateway's: only the configuration is.
   std::vector<TopicRecord> configuration;
   for (const TopicRecord &it : relayed.Records)
-    if (it.Key == State.Clients.PlatformStore.ConfigurationKey)
+    if (it.Key == key)
       configuration.push_back(it);
   applyOperators(configuration, false);
 }
--- a/src/libs/gateway/recordrelay.cpp
+++ b/src/libs/gateway/recordrelay.cpp
@@ -105,19 +105,29 @@
   return out;
 }
 
+std::string unreadableKey(const std::string &key) {
+  return key + " unreadable";
+}
+
 std::vector<TopicRecord>
 withConfigurationInForce(std::vector<TopicRecord> records, bool isSnapshot,
-                         const std::string &key, const std::string &text) {
-  if (text.empty())
+                         const std::string &key,
+                         const ConfigurationTexts &texts) {
+  if (texts.InForce.empty())
     return records;
   bool isListed = false;
   for (TopicRecord &it : records)
     if (it.Key == key) {
-      it.Value = text;
+      it.Value = texts.InForce;
       isListed = true;
     }
   if (isSnapshot && !isListed)
-    records.push_back({key, text});
+    records.push_back({key, texts.InForce});
+  std::string unreadable = unreadableKey(key);
+  if (!texts.Unreadable.empty() && (isListed || isSnapshot))
+    records.push_back({unreadable, texts.Unreadable});
+  else if (isListed && !isSnapshot) // A snapshot drops what it does not have.
+    records.push_back({unreadable, std::nullopt});
   return records;
 }
 
--- a/src/libs/gateway/recordrelay.h
+++ b/src/libs/gateway/recordrelay.h
@@ -45,13 +45,27 @@
   Utils::TimePoint BudgetAt{};
 };
 
+/// Texts of the configurations that a gateway knows.
+struct ConfigurationTexts {
+  /// Empty before the first.
+  std::string InForce;
+  /// The newest one if it could not be decoded; empty otherwise.
+  std::string Unreadable;
+};
+
+/// Key under which a newer configuration that could not be decoded is relayed
+/// beside the one in force. Ordered behind `key`, that of the configuration.
+std::string unreadableKey(const std::string &key);
+
 /// Returns records as they are read from the store, with the configuration in
-/// force, `text`, in place of an older or an absent one: a store that comes
-/// back from an older copy must not undo at another gateway what is in force
-/// here. `key`: that of the configuration.
+/// force in place of any other: a store that comes back from an older copy must
+/// not undo at another gateway what is in force here. A newer one that could
+/// not be decoded is added, so that it is not hidden. `key`: that of the
+/// configuration.
 std::vector<TopicRecord>
 withConfigurationInForce(std::vector<TopicRecord> records, bool isSnapshot,
-                         const std::string &key, const std::string &text);
+                         const std::string &key,
+                         const ConfigurationTexts &texts);
 
 /// A topic as another gateway has relayed it.
 struct RelayedRecords {
--- a/src/libs/gateway/topicfeed.h
+++ b/src/libs/gateway/topicfeed.h
@@ -62,6 +62,9 @@
   /// The holder has sent a part of what the topic held at `asOf`, and the rest
   /// follows: postpones the next read.
   void awaitHolderSnapshot(Utils::TimePoint asOf, Utils::TimePoint reportedAt);
+  /// Whether the topic may still lack records that its writers write again, so
+  /// that what is missing in it was not withdrawn; see startEra().
+  bool isRetaining(Utils::TimePoint now) const { return now < RetainUntil; }
   /// Reads from the store again, starting now.
   void resume();
   uint64_t next() const { return Next; }
--- a/src/libs/gateway/view.cpp
+++ b/src/libs/gateway/view.cpp
@@ -116,8 +116,10 @@
   uint64_t version = (*decoded)->Version;
   if (Current && version < Current->Version)
     return;
-  if (version > RejectedVersion)
+  if (version > RejectedVersion) {
     BehindSince.reset();
+    RejectedText.clear();
+  }
   if (Current && version == Current->Version)
     return;
   logLimitChanges(**decoded, Current.get());
@@ -144,6 +146,8 @@
   if (isNewer && !BehindSince)
     BehindSince = Current ? now : Utils::TimePoint{};
   RejectedVersion = std::max(RejectedVersion, version.value_or(0));
+  if (isNewer)
+    RejectedText = text;
   Utils::Event event("configuration_unreadable");
   event.with("error", failure.What)
       .with("bytes", text.size())
--- a/src/libs/gateway/view.h
+++ b/src/libs/gateway/view.h
@@ -45,6 +45,10 @@
   /// Whether the operators have written a newer configuration that could not be
   /// decoded: what the one in force does not have may exist.
   bool isBehind() const { return BehindSince.has_value(); }
+  /// Version of the newest configuration that could not be decoded; 0 if none.
+  uint64_t rejectedVersion() const { return RejectedVersion; }
+  /// Its text; empty unless isBehind().
+  const std::string &rejectedText() const { return RejectedText; }
   /// Since when; the keys that such a configuration withdraws are not known.
   std::optional<Utils::TimePoint> behindSince() const { return BehindSince; }
   /// Its text as the operators wrote it; empty before the first.
@@ -77,6 +81,7 @@
   std::optional<Utils::TimePoint> BehindSince;
   /// Newest version that could not be decoded.
   uint64_t RejectedVersion = 0;
+  std::string RejectedText;
   std::string CurrentText;
   Fleet::EndpointTable Endpoints;
   Fleet::Evacuations Evacuations;
