Let no list of endpoints outvote a removal that it may have missed

Cause: a removed endpoint is kept out by the sequence number of its newest report. The holder reads every report but passes on only what changes more than the number, so the others know an older one. The entry that a stale holder sends after the answer to an order has a newer number and brought the endpoint back; nothing removed it again.

Evidence: tst_removedendpoints with a scripted holder. With the positions taken out the stale entry brings the endpoint back (2 known in place of 1, 5 of 20 calls reach it, 10 of 20 once the gateway is the next holder); four of six cases red, and three of tst_fleet.

Change: each fact carries the position of the topic that its source had read (Fleet::Listing; heartbeats name the holder's). A report in a list that may miss the removal is withheld until the holder has read on and lists it still; a removal does not outvote a later listing, such as a new process with the same id. The fixture's log returns only what is new, as the store's does.

--- a/src/libs/fleet/endpoints.cpp
+++ b/src/libs/fleet/endpoints.cpp
@@ -12,6 +12,22 @@
 /// write.
 constexpr std::chrono::seconds TombstoneLifetime{60};
 
+/// Whether a list that was read up to `position` has all records before
+/// `other`. Nothing is missed before an unknown position.
+bool reaches(const StoreEra::Position &position,
+             const StoreEra::Position &other) {
+  if (other.Offset == 0)
+    return true;
+  if (position.InEra != other.InEra)
+    return position.InEra > other.InEra;
+  return position.Offset >= other.Offset;
+}
+
+StoreEra::Position later(const StoreEra::Position &left,
+                         const StoreEra::Position &right) {
+  return reaches(left, right) ? left : right;
+}
+
 } // namespace
 
 bool Endpoint::hasModel(const std::string &model) const {
@@ -39,15 +55,37 @@
          version <= std::tie(it->second.StartedUnixMs, it->second.Sequence);
 }
 
-bool EndpointTable::update(EndpointReport report, TimePoint now) {
+bool EndpointTable::mayMissRemoval(const std::string &id,
+                                   const Listing &listing) const {
+  auto it = Tombstones.find(id);
+  return it != Tombstones.end() && !reaches(listing.From, it->second.KnownAt);
+}
+
+bool EndpointTable::update(EndpointReport report, TimePoint now,
+                           const Listing &listing) {
+  auto known = Endpoints.find(report.Id);
+  StoreEra::Position listedAt = listing.From;
+  if (known != Endpoints.end()) {
+    const EndpointReport &latest = known->second.Report;
+    listedAt = later(listedAt, known->second.ListedAt);
+    if (std::tie(report.StartedUnixMs, report.Sequence) ==
+        std::tie(latest.StartedUnixMs, latest.Sequence))
+      known->second.ListedAt = listedAt;
+  }
   if (isStale(report))
     return false;
+  if (mayMissRemoval(report.Id, listing)) {
+    Withheld[report.Id] = std::move(report);
+    return false;
+  }
   bool leaving = isLeaving(report);
   std::string id = report.Id;
   auto cold = report.ColdRemaining;
   TimePoint coldUntil = cold.count() > 0 ? now + cold : TimePoint{};
   Tombstones.erase(id);
-  Endpoints[id] = Endpoint{std::move(report), now, leaving, coldUntil};
+  Withheld.erase(id);
+  Endpoints[id] =
+      Endpoint{std::move(report), now, leaving, coldUntil, listedAt};
   ++Revision;
   return true;
 }
@@ -72,13 +110,24 @@
   return true;
 }
 
-bool EndpointTable::remove(const std::string &id, TimePoint now) {
+bool EndpointTable::remove(const std::string &id, TimePoint now,
+                           const Listing &listing) {
   auto it = Endpoints.find(id);
-  if (it == Endpoints.end())
+  if (it == Endpoints.end()) {
+    if (mayMissRemoval(id, listing))
+      return false;
+    Withheld.erase(id);
+    if (auto tombstone = Tombstones.find(id); tombstone != Tombstones.end())
+      tombstone->second.KnownAt = later(listing.To, tombstone->second.KnownAt);
+    return false;
+  }
+  bool isListedLater =
+      listing.From.Offset > 0 && !reaches(listing.From, it->second.ListedAt);
+  if (isListedLater)
     return false;
   const EndpointReport &report = it->second.Report;
-  Tombstones[id] =
-      Tombstone{report.StartedUnixMs, report.Sequence, now, it->second.Leaving};
+  Tombstones[id] = Tombstone{report.StartedUnixMs, report.Sequence, now,
+                             it->second.Leaving, listing.To};
   Endpoints.erase(it);
   ++Revision;
   expireTombstones(now);
--- a/src/libs/fleet/endpoints.h
+++ b/src/libs/fleet/endpoints.h
@@ -1,6 +1,7 @@
 #ifndef FLEET_ENDPOINTS_H
 #define FLEET_ENDPOINTS_H
 
+#include "storeera/storeera.h"
 #include "utils/clock.h"
 
 #include <cstdint>
@@ -45,6 +46,14 @@
   std::vector<std::string> OnDisk;
 };
 
+/// What a list of the endpoints is based on: reads of their topic in the
+/// platform's store that began at From and ended at To. It has all records
+/// before From, and none from To on. Offset 0: not known.
+struct Listing {
+  StoreEra::Position From;
+  StoreEra::Position To;
+};
+
 /// An endpoint with its latest report.
 struct Endpoint {
   EndpointReport Report;
@@ -56,6 +65,8 @@
   /// End of the warm-up by the report, counted from its receipt; the epoch if
   /// the endpoint is warm.
   TimePoint ColdUntil{};
+  /// Newest position of the topic at which the report is known to be listed.
+  StoreEra::Position ListedAt{};
 
   /// Whether the endpoint accepts new requests.
   bool isReady() const {
@@ -67,19 +78,28 @@
 };
 
 /// The endpoints that the platform lists, by id. Ignores stale and duplicate
-/// reports.
+/// reports. Reports and removals come by reads of the store and by other
+/// gateways' lists, in any order: neither outvotes what a later position of the
+/// topic shows.
 class EndpointTable {
 public:
   /// Applies a report unless it is stale, that is, not newer than the last one
-  /// applied for the endpoint, which may have been removed since. Returns
+  /// applied for the endpoint, which may have been removed since. A report in a
+  /// list that may not know of the endpoint's removal is withheld. Returns
   /// whether it was applied.
-  bool update(EndpointReport report, TimePoint now);
+  bool update(EndpointReport report, TimePoint now,
+              const Listing &listing = {});
+  /// Newest reports that were withheld, by id, unless a removal followed.
+  const std::map<std::string, EndpointReport> &withheld() const {
+    return Withheld;
+  }
   /// Marks the endpoint as shutting down if it still is the process started at
   /// `startedUnixMs`. Returns whether that changed its state.
   bool markLeaving(const std::string &id, int64_t startedUnixMs);
-  /// Removes an endpoint that the platform no longer lists. Returns whether it
-  /// was in the table.
-  bool remove(const std::string &id, TimePoint now);
+  /// Removes an endpoint that the list no longer has, unless it is known to be
+  /// listed later. Returns whether it was removed.
+  bool remove(const std::string &id, TimePoint now,
+              const Listing &listing = {});
 
   const Endpoint *find(const std::string &id) const;
   const std::map<std::string, Endpoint> &all() const { return Endpoints; }
@@ -93,13 +113,17 @@
     int64_t Sequence = 0;
     TimePoint RemovedAt;
     bool Leaving = false;
+    /// Position of the topic at which the removal is known.
+    StoreEra::Position KnownAt;
   };
   bool isStale(const EndpointReport &report) const;
+  bool mayMissRemoval(const std::string &id, const Listing &listing) const;
   bool isLeaving(const EndpointReport &report) const;
   void expireTombstones(TimePoint now);
 
   std::map<std::string, Endpoint> Endpoints;
   std::unordered_map<std::string, Tombstone> Tombstones;
+  std::map<std::string, EndpointReport> Withheld;
   uint64_t Revision = 0;
 };
 
--- a/src/libs/fleetlink/fleetlink.cpp
+++ b/src/libs/fleetlink/fleetlink.cpp
@@ -94,7 +94,7 @@
           it.TableBaseFromStore, it.EncodedEntries, it.Loads, it.Quarantined,
           it.WatchedParts, it.LimitsRevision, it.EndpointLimits, it.StoreEra,
           it.RecordEra, it.ConfigurationVersion, it.ConfigurationAddress,
-          it.ConfigurationConfirmed);
+          it.ConfigurationConfirmed, it.EndpointsNext);
 }
 template <class Archive>
 void serialize(Archive &archive, ConfigurationQuestion &it) {
@@ -126,9 +126,9 @@
   GrantRequest = 13,
   Grant = 14,
   Report = 17,
-  Heartbeat = 18,
   ConfigurationQuestion = 19,
-  ConfigurationAnswer = 20
+  ConfigurationAnswer = 20,
+  Heartbeat = 21
 };
 
 template <typename T> std::string encodeAs(Kind kind, const T &message) {
--- a/src/libs/fleetlink/fleetlink.h
+++ b/src/libs/fleetlink/fleetlink.h
@@ -320,6 +320,9 @@
   /// since that was the topic's end.
   uint64_t OperatorsNext = 0;
   uint32_t OperatorsAgeMs = 0;
+  /// Offset up to which the holder has read the endpoints' topic, which the
+  /// entries match; 0 if it has not read all of it.
+  uint64_t EndpointsNext = 0;
   /// Time since the entries matched the store.
   uint32_t EndpointsAgeMs = 0;
   /// Entries holds the changes after TableBaseRevision up to TableRevision;
--- a/src/libs/gateway/fleetholder.cpp
+++ b/src/libs/gateway/fleetholder.cpp
@@ -493,6 +493,7 @@
   addConfigurationVersion(out);
   out.OperatorsNext = read.OperatorsNext;
   out.OperatorsAgeMs = ageInMs(read.OperatorsAsOf, now);
+  out.EndpointsNext = read.EndpointsNext;
   out.EndpointsAgeMs = ageInMs(read.EndpointsAsOf, now);
   TableChanges.addChanges(out, report,
                           entryLimitsPerHeartbeat(Ctx.Settings.LinkMbps),
--- a/src/libs/gateway/fleetmember.h
+++ b/src/libs/gateway/fleetmember.h
@@ -138,6 +138,10 @@
   bool hasLiveHolder(TimePoint now) const;
   /// Whether the holder's whole table has been received.
   bool hasCompleteTable() const { return Table.isComplete(); }
+  /// Whether the holder's table has the endpoint.
+  bool isListed(const std::string &endpoint) const {
+    return Table.isListed(endpoint);
+  }
   /// See FleetTable::unlisted().
   std::vector<std::string>
   unlistedEndpoints(const Fleet::EndpointTable &endpoints,
--- a/src/libs/gateway/fleettable.h
+++ b/src/libs/gateway/fleettable.h
@@ -38,6 +38,9 @@
                                    const std::string &adapter) const;
   /// Endpoints that hold or load the model; null while the table is incomplete.
   const std::vector<std::string> *endpointsWith(const std::string &model) const;
+  bool isListed(const std::string &endpoint) const {
+    return Endpoints.count(endpoint) > 0;
+  }
   /// Whether the holder has sent that the endpoint accepts no new calls.
   bool isDraining(const std::string &endpoint) const;
   /// Endpoints that this gateway knows by reports from before `asOf`, and that
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -124,7 +124,9 @@
   void noteHolderReads(const FleetLink::Heartbeat &heartbeat,
                        Utils::TimePoint reportedAt);
   void applyEntries(const FleetLink::Heartbeat &heartbeat);
-  void removeUnlisted(Utils::TimePoint asOf);
+  void applyWithheld(const Fleet::Listing &listing);
+  void removeUnlisted(const FleetLink::Heartbeat &heartbeat,
+                      Utils::TimePoint asOf);
   void applyOperators(const std::vector<TopicRecord> &records, bool isSnapshot);
   void applyRelayed(const RelayedRecords &relayed);
   void noteConfigurationState(const std::string &address,
--- a/src/libs/gateway/process.cpp
+++ b/src/libs/gateway/process.cpp
@@ -134,8 +134,10 @@
                     EndpointPollInterval,
                     maxAgeBeforeRead(State.Settings.EndpointDrain)},
                    [this](const auto &records, bool isSnapshot) {
-                     State.FleetView.applyEndpoints(records, isSnapshot,
-                                                    Utils::BootClock::now());
+                     State.FleetView.applyEndpoints(
+                         records, isSnapshot,
+                         {EndpointFeed.position(), EndpointFeed.readEnd()},
+                         Utils::BootClock::now());
                      if (isSnapshot)
                        State.Coordination.onAllEndpointsRead(
                            EndpointFeed.position());
--- a/src/libs/gateway/processupdates.cpp
+++ b/src/libs/gateway/processupdates.cpp
@@ -30,6 +30,12 @@
   return out;
 }
 
+/// The reads of the store on which the holder's table is based.
+Fleet::Listing listingOf(const FleetLink::Heartbeat &heartbeat) {
+  StoreEra::Position next{heartbeat.StoreEra, heartbeat.EndpointsNext};
+  return {next, next};
+}
+
 } // namespace
 
 void Process::onHeartbeat(const FleetLink::Heartbeat &heartbeat,
@@ -61,7 +67,7 @@
   if (!State.Coordination.member().hasCompleteTable())
     return EndpointFeed.awaitHolderSnapshot(asOf, reportedAt);
   if (asOf + MaxRelayedAge >= reportedAt)
-    removeUnlisted(asOf);
+    removeUnlisted(heartbeat, asOf);
   EndpointFeed.noteHolderSnapshot(asOf, reportedAt);
 }
 
@@ -210,25 +216,42 @@
 
 void Process::applyEntries(const FleetLink::Heartbeat &heartbeat) {
   Utils::TimePoint now = Utils::BootClock::now();
+  Fleet::Listing listing = listingOf(heartbeat);
   for (const FleetLink::EndpointEntry &it : heartbeat.Entries)
     if (it.Removed) {
-      State.FleetView.removeEndpoint(it.Endpoint, now);
+      State.FleetView.removeEndpoint(it.Endpoint, listing, now);
     } else {
-      State.FleetView.applyReport(toEndpointReport(it), now);
+      State.FleetView.applyReport(toEndpointReport(it), listing, now);
       if (it.Draining)
         State.FleetView.noteLeaving(it.Endpoint, it.StartedUnixMs);
     }
+  applyWithheld(listing);
+}
+
+/// Applies the reports that were withheld as the holder might not have known of
+/// a removal, if it has read on since and lists the endpoints still.
+void Process::applyWithheld(const Fleet::Listing &listing) {
+  const FleetMember &member = State.Coordination.member();
+  if (!member.hasCompleteTable())
+    return;
+  Utils::TimePoint now = Utils::BootClock::now();
+  std::map<std::string, Fleet::EndpointReport> withheld =
+      State.FleetView.endpoints().withheld();
+  for (auto &[id, report] : withheld)
+    if (member.isListed(id))
+      State.FleetView.applyReport(std::move(report), listing, now);
 }
 
 /// Removes the endpoints that the holder's table, read from the store at
 /// `asOf`, does not list. A holder sends the removals that it has seen itself:
 /// one that has just started does not know what its predecessor listed.
-void Process::removeUnlisted(Utils::TimePoint asOf) {
+void Process::removeUnlisted(const FleetLink::Heartbeat &heartbeat,
+                             Utils::TimePoint asOf) {
   auto unlisted = State.Coordination.member().unlistedEndpoints(
       State.FleetView.endpoints(), asOf);
   Utils::TimePoint now = Utils::BootClock::now();
   for (const std::string &id : unlisted)
-    State.FleetView.removeEndpoint(id, now);
+    State.FleetView.removeEndpoint(id, listingOf(heartbeat), now);
 }
 
 } // namespace Gateway
--- a/src/libs/gateway/topicfeed.cpp
+++ b/src/libs/gateway/topicfeed.cpp
@@ -76,6 +76,7 @@
   // the first page names.
   if (PageAfter.empty())
     SnapshotPages.Next = page.End;
+  SnapshotPages.End = page.End;
   std::move(page.Records.begin(), page.Records.end(),
             std::back_inserter(SnapshotPages.Records));
   PageAfter = std::move(page.NextAfter);
@@ -106,6 +107,7 @@
   if (!hasMore)
     CompleteUntil = std::max(CompleteUntil, sentAt);
   Next = result.Next;
+  ReadEnd = isSnapshot ? result.End : result.Next;
   bool isWhole = isSnapshot && sentAt >= RetainUntil;
   if (isSnapshot || !result.Records.empty())
     OnRecords(result.Records, isWhole);
--- a/src/libs/gateway/topicfeed.h
+++ b/src/libs/gateway/topicfeed.h
@@ -69,6 +69,9 @@
   void resume();
   uint64_t next() const { return Next; }
   StoreEra::Position position() const { return {InEra, Next}; }
+  /// End of the topic when the newest answer was made; next() for a log read,
+  /// and behind next() after a snapshot of several pages.
+  StoreEra::Position readEnd() const { return {InEra, ReadEnd}; }
   /// Time up to which the data is complete; the epoch before the first read.
   Utils::TimePoint completeUntil() const { return CompleteUntil; }
   /// Value of completeUntil() before the latest answered read: the records of
@@ -106,6 +109,7 @@
   /// Era of Next and of the pages.
   StoreEra::Era InEra;
   uint64_t Next = 0;
+  uint64_t ReadEnd = 0;
   /// Number of the read in flight. The answer to an earlier read is dropped: it
   /// belongs to an earlier era.
   uint64_t ReadNumber = 0;
--- a/src/libs/gateway/view.cpp
+++ b/src/libs/gateway/view.cpp
@@ -160,30 +160,33 @@
 }
 
 void View::applyEndpoints(const std::vector<TopicRecord> &records,
-                          bool isSnapshot, Utils::TimePoint now) {
+                          bool isSnapshot, const Fleet::Listing &listing,
+                          Utils::TimePoint now) {
   if (isSnapshot) {
     std::set<std::string_view> ids;
     for (const TopicRecord &it : records)
       if (it.Value)
         ids.insert(it.Key);
-    retainEndpoints(ids, now);
+    retainEndpoints(ids, listing, now);
   }
   for (const TopicRecord &it : records)
-    applyEndpoint(it, now);
+    applyEndpoint(it, listing, now);
 }
 
 void View::retainEndpoints(const std::set<std::string_view> &ids,
+                           const Fleet::Listing &listing,
                            Utils::TimePoint now) {
   std::vector<std::string> removed;
   for (const auto &[id, endpoint] : Endpoints.all())
     if (ids.count(id) == 0)
       removed.push_back(id);
   for (const std::string &id : removed)
-    removeEndpoint(id, now);
+    removeEndpoint(id, listing, now);
 }
 
-void View::removeEndpoint(const std::string &id, Utils::TimePoint now) {
-  if (!Endpoints.remove(id, now))
+void View::removeEndpoint(const std::string &id, const Fleet::Listing &listing,
+                          Utils::TimePoint now) {
+  if (!Endpoints.remove(id, now, listing))
     return;
   Utils::Event("endpoint_gone").with("endpoint", id).info();
   if (OnEndpoint)
@@ -201,9 +204,10 @@
     OnEndpoint(id);
 }
 
-void View::applyEndpoint(const TopicRecord &record, Utils::TimePoint now) {
+void View::applyEndpoint(const TopicRecord &record,
+                         const Fleet::Listing &listing, Utils::TimePoint now) {
   if (!record.Value)
-    return removeEndpoint(record.Key, now);
+    return removeEndpoint(record.Key, listing, now);
   auto decoded = Source.DecodeEndpoint(record.Key, *record.Value);
   if (!decoded) {
     Utils::Event("endpoint_entry_unreadable")
@@ -212,16 +216,17 @@
         .warning();
     return;
   }
-  applyReport(std::move(decoded.value()), now);
+  applyReport(std::move(decoded.value()), listing, now);
 }
 
-void View::applyReport(Fleet::EndpointReport report, Utils::TimePoint now) {
+void View::applyReport(Fleet::EndpointReport report,
+                       const Fleet::Listing &listing, Utils::TimePoint now) {
   std::string id = report.Id;
   const Fleet::Endpoint *previous = Endpoints.find(id);
   bool known = previous != nullptr;
   auto oldState = known ? previous->Report.State : Fleet::EndpointState::Ready;
   Fleet::EndpointState newState = report.State;
-  if (!Endpoints.update(std::move(report), now))
+  if (!Endpoints.update(std::move(report), now, listing))
     return;
   if (!known || oldState != newState)
     Utils::Event("endpoint_changed")
--- a/src/libs/gateway/view.h
+++ b/src/libs/gateway/view.h
@@ -26,19 +26,23 @@
                       Utils::TimePoint now);
   /// Logs the evacuations that have come into force since the last call.
   void logEvacuationsInForce(Utils::TimePoint now);
-  /// `isSnapshot`: endpoints without a record are removed.
+  /// `isSnapshot`: endpoints without a record are removed. `listing`: the reads
+  /// that returned the records.
   void applyEndpoints(const std::vector<TopicRecord> &records, bool isSnapshot,
-                      Utils::TimePoint now);
+                      const Fleet::Listing &listing, Utils::TimePoint now);
 
-  /// Applies an endpoint's report that another gateway has read.
-  void applyReport(Fleet::EndpointReport report, Utils::TimePoint now);
+  /// Applies an endpoint's report of a list that was read as in `listing`, here
+  /// or at another gateway.
+  void applyReport(Fleet::EndpointReport report, const Fleet::Listing &listing,
+                   Utils::TimePoint now);
   /// The endpoint that was started at that time has announced in an answer that
   /// it leaves.
   void noteLeaving(const std::string &id, int64_t startedUnixMs);
-  void removeEndpoint(const std::string &id, Utils::TimePoint now);
+  void removeEndpoint(const std::string &id, const Fleet::Listing &listing,
+                      Utils::TimePoint now);
   /// Removes all endpoints but these.
   void retainEndpoints(const std::set<std::string_view> &ids,
-                       Utils::TimePoint now);
+                       const Fleet::Listing &listing, Utils::TimePoint now);
 
   /// Null before the first configuration.
   const Fleet::ConfigurationRef &configuration() const { return Current; }
@@ -74,7 +78,8 @@
                        std::optional<Utils::TimePoint> absentAt,
                        Utils::TimePoint now);
   bool withdrawEvacuation(const std::string &domain);
-  void applyEndpoint(const TopicRecord &record, Utils::TimePoint now);
+  void applyEndpoint(const TopicRecord &record, const Fleet::Listing &listing,
+                     Utils::TimePoint now);
 
   const Store &Source;
   Fleet::ConfigurationRef Current;
--- a/tests/auto/fleet/tst_fleet.cpp
+++ b/tests/auto/fleet/tst_fleet.cpp
@@ -135,6 +135,63 @@
   CHECK_FALSE(Table.find("e")->isReady());
 }
 
+namespace {
+
+Listing listingAt(uint64_t from, uint64_t to, uint64_t era = 1) {
+  return {{{era}, from}, {{era}, to}};
+}
+
+} // namespace
+
+// review/3, DRAIN: a list that was read before the removal has a newer sequence
+// number than the gateway that knows of the removal.
+TEST_CASE_FIXTURE(EndpointTableFixture,
+                  "removed endpoint, a newer report in a list that may miss "
+                  "the removal is withheld, one in a later list is applied") {
+  CHECK(Table.update(makeReport(1, 5), Now, listingAt(10, 10)));
+  CHECK(Table.remove("e", Now, listingAt(20, 30)));
+  CHECK_FALSE(Table.update(makeReport(1, 9), Now, listingAt(29, 29)));
+  CHECK_FALSE(Table.update(makeReport(2, 1), Now, listingAt(29, 29)));
+  CHECK_FALSE(Table.update(makeReport(2, 2), Now));
+  CHECK(Table.withheld().at("e").Sequence == 2);
+  CHECK(Table.update(makeReport(2, 3), Now, listingAt(30, 30)));
+  CHECK(Table.withheld().empty());
+}
+
+TEST_CASE_FIXTURE(EndpointTableFixture,
+                  "removed endpoint, the store has come back from a copy, a "
+                  "newer report of the later era is applied") {
+  CHECK(Table.update(makeReport(1, 5), Now, listingAt(10, 10)));
+  CHECK(Table.remove("e", Now, listingAt(20, 20)));
+  CHECK(Table.update(makeReport(1, 6), Now, listingAt(3, 3, 2)));
+}
+
+TEST_CASE_FIXTURE(EndpointTableFixture,
+                  "listed endpoint, a removal in a list of an earlier position "
+                  "is ignored, one of a later or unknown position is not") {
+  CHECK(Table.update(makeReport(1, 5), Now, listingAt(10, 10)));
+  CHECK_FALSE(Table.update(makeReport(1, 5), Now, listingAt(20, 20)));
+  CHECK_FALSE(Table.remove("e", Now, listingAt(15, 15)));
+  CHECK(Table.remove("e", Now, listingAt(20, 20)));
+  CHECK(Table.update(makeReport(1, 6), Now, listingAt(21, 21)));
+  CHECK(Table.remove("e", Now));
+}
+
+// Guards against a report that was withheld and is applied after a list that
+// has read the removal.
+TEST_CASE_FIXTURE(EndpointTableFixture,
+                  "withheld report, the endpoint is missing in a later list, "
+                  "is dropped") {
+  CHECK(Table.update(makeReport(1, 5), Now, listingAt(10, 10)));
+  CHECK(Table.remove("e", Now, listingAt(20, 20)));
+  CHECK_FALSE(Table.update(makeReport(1, 6), Now, listingAt(15, 15)));
+  CHECK_FALSE(Table.remove("e", Now, listingAt(16, 16)));
+  CHECK(Table.withheld().size() == 1);
+  CHECK_FALSE(Table.remove("e", Now, listingAt(25, 25)));
+  CHECK(Table.withheld().empty());
+  CHECK_FALSE(Table.update(makeReport(1, 7), Now, listingAt(24, 24)));
+}
+
 // A relayed copy of a report would otherwise extend the limit of a cold
 // endpoint each time.
 TEST_CASE_FIXTURE(EndpointTableFixture,
--- a/tests/auto/gateway/gatewayfixture.cpp
+++ b/tests/auto/gateway/gatewayfixture.cpp
@@ -117,6 +117,7 @@
       read.Records.push_back(it);
     return read;
   }
+  read.Next = EndpointsEnd;
   for (const std::string &id : RemovedEntries)
     read.Records.push_back({id, std::nullopt});
   for (const Fleet::EndpointReport &it : Reports)
@@ -127,15 +128,17 @@
 }
 
 void GatewayFixture::answerRead(asio::io_context &loop, const bool &answers,
-                                Gateway::Topic topic,
+                                Gateway::Topic topic, uint64_t from,
                                 const Gateway::Store::ReadDone &done) {
-  runOnLoopAfter(loop, 1ms, [this, &loop, &answers, topic, done] {
+  runOnLoopAfter(loop, 1ms, [this, &loop, &answers, topic, from, done] {
     if (!answers)
       return done(
           Utils::failure(Utils::Errc::Unavailable, "store: unavailable"));
     if (&loop == &Loop)
       ++(topic == Gateway::Topic::Operators ? ConfigReads : EndpointReads);
-    done(recordsOf(topic));
+    bool hasNews = topic == Gateway::Topic::Operators || EndpointsEnd == 0 ||
+                   from < EndpointsEnd;
+    done(hasNews ? recordsOf(topic) : Gateway::TopicRead{from, {}, from});
     if (OnStoreRead)
       OnStoreRead(loop, topic);
   });
@@ -238,7 +241,7 @@
   };
   store.ReadPage = [this, &loop, &answers](auto topic, const auto &, auto,
                                            auto done) {
-    answerRead(loop, answers, topic,
+    answerRead(loop, answers, topic, 0,
                [done](Utils::Outcome<Gateway::TopicRead> read) {
                  if (!read)
                    return done(read.error());
@@ -246,11 +249,11 @@
                                          std::move(read.value().Records), ""});
                });
   };
-  store.ReadFrom = [this, &loop, &answers](auto topic, auto, auto maxWait, auto,
-                                           auto done) {
+  store.ReadFrom = [this, &loop, &answers](auto topic, auto from, auto maxWait,
+                                           auto, auto done) {
     if (topic == Gateway::Topic::Operators && &loop == &Loop)
       ConfigurationPollTimeout = maxWait;
-    answerRead(loop, answers, topic, std::move(done));
+    answerRead(loop, answers, topic, from, std::move(done));
   };
   store.ReadDuty = [this, &loop](auto, auto done) {
     runOnLoopAfter(loop, 1ms, [this, done] {
--- a/tests/auto/gateway/gatewayfixture.h
+++ b/tests/auto/gateway/gatewayfixture.h
@@ -156,6 +156,9 @@
   bool DutyAnswers = false;
   /// End of the operators' topic.
   uint64_t OperatorsEnd = 0;
+  /// End of the endpoints' topic, at which reads of its log find nothing; 0:
+  /// the store names none, and each read finds all entries.
+  uint64_t EndpointsEnd = 0;
   /// Called after the store has answered a read of the gateway that runs on
   /// that loop.
   std::function<void(const asio::io_context &, Gateway::Topic)> OnStoreRead;
@@ -164,7 +167,8 @@
   /// `answers`: whether the store answers this gateway's reads.
   Gateway::Store makeStore(asio::io_context &loop, const bool &answers);
   void answerRead(asio::io_context &loop, const bool &answers,
-                  Gateway::Topic topic, const Gateway::Store::ReadDone &done);
+                  Gateway::Topic topic, uint64_t from,
+                  const Gateway::Store::ReadDone &done);
   Gateway::TopicRead recordsOf(Gateway::Topic topic) const;
   Gateway::EngineClient makeEngines();
   void recordRequest(const Gateway::EngineClient::NoticeSink &notices,
--- a/tests/auto/gatewayprocesses/gatewayfleet.cpp
+++ b/tests/auto/gatewayprocesses/gatewayfleet.cpp
@@ -70,9 +70,10 @@
 } // namespace
 
 EndpointStandin::EndpointStandin(std::string id, std::string service,
-                                 StoreStandin &store)
+                                 StoreStandin &store,
+                                 std::vector<std::string> models)
     : Id(std::move(id)), Service(std::move(service)), Store(store),
-      StartedUnixMs(unixMs()) {
+      Models(std::move(models)), StartedUnixMs(unixMs()) {
   Server.new_task_queue = [] {
     return new httplib::ThreadPool(EndpointThreads);
   };
@@ -101,6 +102,7 @@
                 {"state", "ready"},
                 {"cold_remaining_ms", 0},
                 {"sequence", ++Sequence},
+                {"models", modelList()},
                 {"born", StartedUnixMs}};
   Store.put("keyed.servers", Id, entry.dump());
 }
@@ -115,17 +117,61 @@
     response.status = 421;
     return;
   }
+  if (request.path == "/v1/order")
+    return carryOut(request, response);
+  if (request.path == "/v1/report")
+    return response.set_content(json{{"stage", "combined"},
+                                     {"models", modelList()},
+                                     {"busy", false},
+                                     {"sequence", int(Orders)}}
+                                    .dump(),
+                                "application/json");
+  std::string model = request.get_header_value("Model");
+  bool isHeld = model.empty();
+  for (const json &it : modelList())
+    isHeld |= it["name"] == model;
+  if (!isHeld) {
+    response.status = 421;
+    return;
+  }
+  Calls += request.path != "/health";
   if (request.path != "/health")
     response.set_header("Response-Seal", "seal-of-" + Id);
   response.set_content("served by " + Id, "text/plain");
 }
 
+json EndpointStandin::modelList() {
+  std::lock_guard lock(Mutex);
+  json out = json::array();
+  for (const std::string &it : Models)
+    out.push_back({{"name", it}, {"version", 1}, {"adapters", json::array()}});
+  return out;
+}
+
+void EndpointStandin::carryOut(const httplib::Request &order,
+                               httplib::Response &response) {
+  json body = json::parse(order.body);
+  std::lock_guard lock(Mutex);
+  if (body.value("precondition", int(Orders)) != Orders) {
+    response.status = 409;
+    return;
+  }
+  if (body["operation"] == "load")
+    Models.push_back(body["model"]);
+  else
+    std::erase(Models, body["model"].get<std::string>());
+  ++Orders;
+  response.status = 202;
+}
+
 GatewayFleet::GatewayFleet(int gateways, const std::string &configuration)
     : Directory(makeDirectory()), Gateways(size_t(gateways)) {
   if (!configuration.empty())
     configureText(configuration);
   for (const char *id : {"desk-1", "desk-2"})
     Endpoints.push_back(std::make_unique<EndpointStandin>(id, "desk", Store));
+  for (int i = 0; i < gateways; ++i)
+    StoreDoors.push_back(Store.openDoor(nameOf(i)));
   for (int i = 0; i < gateways; ++i)
     start(i, true);
 }
@@ -136,6 +182,10 @@
   std::filesystem::remove_all(Directory);
 }
 
+std::string GatewayFleet::nameOf(int gateway) {
+  return "front-" + std::to_string(gateway);
+}
+
 std::string GatewayFleet::ipOf(int gateway) const {
   constexpr int perByte = 250;
   int own = int(getpid());
@@ -145,14 +195,14 @@
 }
 
 std::string GatewayFleet::pathOf(int gateway, const char *suffix) const {
-  return Directory + "/front-" + std::to_string(gateway) + suffix;
+  return Directory + "/" + nameOf(gateway) + suffix;
 }
 
 void GatewayFleet::writeSettings(int gateway, bool firstStart) const {
   std::string ip = ipOf(gateway);
   auto at = [&](uint16_t port) { return ip + ":" + std::to_string(port); };
   json settings = {
-      {"node_name", "front-" + std::to_string(gateway)},
+      {"node_name", nameOf(gateway)},
       {"ip_address", ip},
       {"zone", "zone-a"},
       {"region", "region"},
@@ -169,7 +219,8 @@
         {"link_mbps", 1000.0}}},
       {"heartbeat_interval_ms", 1200},
       {"bounds", bounds()},
-      {"platform", {{"address", Store.address()}, {"form", "log"}}}};
+      {"platform",
+       {{"address", StoreDoors[size_t(gateway)]}, {"form", "log"}}}};
   std::ofstream(pathOf(gateway, ".json")) << settings.dump(2);
 }
 
@@ -193,6 +244,8 @@
                      {"Request-Id", "call-" + std::to_string(++sent)},
                      {"Deadline-Milliseconds", "2000"},
                      {"Credential", call.Key}};
+  if (!call.Model.empty())
+    request.headers.emplace("Model", call.Model);
   auto result = client.send(request);
   if (!result)
     return {};
--- a/tests/auto/gatewayprocesses/gatewayfleet.h
+++ b/tests/auto/gatewayprocesses/gatewayfleet.h
@@ -4,16 +4,18 @@
 #include "gatewayprocesses/storestandin.h"
 #include "support/child.h"
 
+#include <atomic>
 #include <memory>
 #include <nlohmann/json.hpp>
 
 namespace Support {
 
-/// An endpoint without models that answers every call with 200. It writes its
-/// entry once, when it starts.
+/// An endpoint that answers every call with 200, but for calls of a model that
+/// it does not hold. It writes its entry once, when it starts.
 class EndpointStandin {
 public:
-  EndpointStandin(std::string id, std::string service, StoreStandin &store);
+  EndpointStandin(std::string id, std::string service, StoreStandin &store,
+                  std::vector<std::string> models = {});
   ~EndpointStandin();
   EndpointStandin(const EndpointStandin &) = delete;
   EndpointStandin &operator=(const EndpointStandin &) = delete;
@@ -21,14 +23,23 @@
   const std::string &id() const { return Id; }
   /// Writes the entry again with the next sequence number.
   void writeEntry();
+  /// Calls that were answered 200, and orders that were carried out.
+  int calls() const { return Calls; }
+  int orders() const { return Orders; }
 
 private:
   void answer(const httplib::Request &request, httplib::Response &response);
+  void carryOut(const httplib::Request &order, httplib::Response &response);
+  nlohmann::json modelList();
 
   std::string Id;
   std::string Service;
   StoreStandin &Store;
   uint64_t Sequence = 0;
+  std::mutex Mutex;
+  std::vector<std::string> Models;
+  std::atomic<int> Calls = 0;
+  std::atomic<int> Orders = 0;
   int64_t StartedUnixMs;
   uint16_t Port = 0;
   httplib::Server Server;
@@ -41,6 +52,8 @@
   std::string Host = "desk.example";
   std::string Key = "key-of-the-club";
   std::string Method = "GET";
+  /// Empty for a call without a model.
+  std::string Model{};
 };
 
 struct ClientAnswer {
@@ -75,6 +88,8 @@
   void configureText(const std::string &text) {
     Store.put("keyed.op", "config", text);
   }
+  /// Name of the gateway, also of its door of the store.
+  static std::string nameOf(int gateway);
   ClientAnswer call(int gateway, const ClientCall &call = {}) const;
   /// Waits until each gateway answers the call with this status. Otherwise
   /// returns false and prints the answers and the ends of the logs.
@@ -101,6 +116,8 @@
 private:
   std::string ipOf(int gateway) const;
   std::string pathOf(int gateway, const char *suffix) const;
+  /// Addresses of the store by gateway.
+  std::vector<std::string> StoreDoors;
   void writeSettings(int gateway, bool firstStart) const;
 
   std::string Directory;
--- a/tests/auto/gatewayprocesses/storestandin.cpp
+++ b/tests/auto/gatewayprocesses/storestandin.cpp
@@ -11,7 +11,6 @@
 
 using nlohmann::json;
 
-constexpr const char *LinkName = "store";
 /// Each long poll of a gateway occupies a thread.
 constexpr size_t StoreThreads = 64;
 constexpr size_t StoreKeepAliveCalls = 1'000'000;
@@ -59,8 +58,8 @@
              [this](const auto &in, auto &out) { read(in, out); });
   Server.Get("/v1/log-newest",
              [this](const auto &in, auto &out) { readNewest(in, out); });
-  Port = Link.addLink(LinkName, FaultProxy::Transport::Tcp,
-                      uint16_t(Server.bind_to_any_port("127.0.0.1")));
+  ServerPort = uint16_t(Server.bind_to_any_port("127.0.0.1"));
+  Address = openDoor("anyone");
   Listening = std::thread([this] { Server.listen_after_bind(); });
   eventually([this] { return Server.is_running(); });
 }
@@ -76,8 +75,17 @@
   Listening.join();
 }
 
-std::string StoreStandin::address() const {
-  return "127.0.0.1:" + std::to_string(Port);
+std::string StoreStandin::openDoor(const std::string &gateway) {
+  uint16_t port = Link.addLink(gateway, FaultProxy::Transport::Tcp, ServerPort);
+  Doors.push_back(gateway);
+  return "127.0.0.1:" + std::to_string(port);
+}
+
+void StoreStandin::reject(const std::string &gateway, bool rejected) {
+  FaultProxy::Faults faults;
+  faults.Refuse = rejected;
+  Link.setFaults(gateway, FaultProxy::Direction::ToTarget, faults);
+  Link.setFaults(gateway, FaultProxy::Direction::ToClient, faults);
 }
 
 uint64_t StoreStandin::put(const std::string &topic, const std::string &key,
@@ -131,13 +139,16 @@
   FaultProxy::Faults faults;
   faults.Refuse = absence == Absence::Reset;
   faults.Discard = absence == Absence::Unanswered;
-  Link.setFaults(LinkName, FaultProxy::Direction::ToTarget, faults);
-  Link.setFaults(LinkName, FaultProxy::Direction::ToClient, faults);
+  for (const std::string &it : Doors) {
+    Link.setFaults(it, FaultProxy::Direction::ToTarget, faults);
+    Link.setFaults(it, FaultProxy::Direction::ToClient, faults);
+  }
 }
 
 /// Connections on which answers were lost return nothing further.
 void StoreStandin::comeBack() {
-  Link.cut(LinkName);
+  for (const std::string &it : Doors)
+    Link.cut(it);
   Link.heal();
 }
 
--- a/tests/auto/gatewayprocesses/storestandin.h
+++ b/tests/auto/gatewayprocesses/storestandin.h
@@ -29,8 +29,12 @@
   StoreStandin(const StoreStandin &) = delete;
   StoreStandin &operator=(const StoreStandin &) = delete;
 
-  /// IP:PORT at which the gateways reach the store.
-  std::string address() const;
+  /// IP:PORT at which anyone reaches the store.
+  const std::string &address() const { return Address; }
+  /// Opens an address of the store for one gateway, and returns it as IP:PORT.
+  std::string openDoor(const std::string &gateway);
+  /// Rejects all calls of the gateway, or no longer.
+  void reject(const std::string &gateway, bool rejected);
 
   /// Appends a record as the operator or an endpoint would; without a value the
   /// key is dropped. Returns its offset.
@@ -84,7 +88,10 @@
   httplib::Server Server;
   std::thread Listening;
   FaultProxy::Proxy Link{1};
-  uint16_t Port = 0;
+  uint16_t ServerPort = 0;
+  std::string Address;
+  /// Names of the links, one for each gateway.
+  std::vector<std::string> Doors;
 };
 
 } // namespace Support
