Take no reset and no malformed head for a whole answer

Bodies under a coding that is not undone reached them with their framing, statuses 600 and 999 passed.

Cause: the kernel reports a reset once. With a read and a write waiting, Asio writes first, its error was ignored, and the read found an end of data.

Change: an end of data after a write that was reset completes no answer (a broken pipe means that the data had ended before).

--- a/src/libs/http/responseparser.cpp
+++ b/src/libs/http/responseparser.cpp
@@ -6,6 +6,7 @@
 
 namespace {
 
+using Error = boost::beast::http::error;
 using Internal::BeastStringView;
 using Internal::ErrorCode;
 
@@ -17,27 +18,47 @@
 constexpr size_t MaxFramingBytes = 65'536;
 constexpr size_t MaxFramingPerBodyByte = 16;
 
+/// Whether a response may have the status (RFC 9110, section 15). A change of
+/// the protocol is never asked for.
+bool isStatus(unsigned status) {
+  constexpr unsigned first = 100;
+  constexpr unsigned end = 600;
+  constexpr unsigned switchingProtocols = 101;
+  return status >= first && status < end && status != switchingProtocols;
+}
+
 class Parser : public boost::beast::http::basic_parser<false> {
 public:
   Parser() : FieldLimiter(HeadLimitBytes) {}
   ResponseHead Head;
   std::string *Body = nullptr;
+  /// Fields from now on are trailers.
+  bool HeadEnded = false;
 
 private:
   void on_request_impl(boost::beast::http::verb, BeastStringView,
                        BeastStringView, int, ErrorCode &) override {}
-  void on_response_impl(int status, BeastStringView reason, int,
+  void on_response_impl(int status, BeastStringView reason, int version,
                         ErrorCode &) override {
+    Version = version;
     Head.Status = unsigned(status);
     Head.Reason = Internal::toStringView(reason);
   }
   void on_field_impl(boost::beast::http::field, BeastStringView name,
                      BeastStringView value, ErrorCode &ec) override {
     FieldLimiter.add(name, value, ec);
+    if (HeadEnded)
+      return;
     Head.Headers.add(Internal::toStringView(name),
                      Internal::toStringView(value));
   }
-  void on_header_impl(ErrorCode &) override {}
+  void on_header_impl(ErrorCode &ec) override {
+    HeadEnded = true;
+    if (!isStatus(Head.Status))
+      ec = Error::bad_status;
+    else if (!hasKnownCoding())
+      ec = Error::bad_transfer_encoding;
+  }
   void on_body_init_impl(const boost::optional<uint64_t> &,
                          ErrorCode &) override {}
   size_t on_body_impl(BeastStringView body, ErrorCode &) override {
@@ -52,7 +73,26 @@
   }
   void on_finish_impl(ErrorCode &) override {}
 
+  /// Whether the body is in chunks or as it is. What a coding that is not
+  /// undone here makes of a body is not the body (RFC 9112, section 6.1).
+  bool hasKnownCoding() const {
+    size_t codings = 0;
+    bool isChunked = true;
+    bool hasLength = false;
+    for (const Field &it : Head.Headers) {
+      hasLength |= equalsIgnoreCase(it.Name, "Content-Length");
+      if (!equalsIgnoreCase(it.Name, "Transfer-Encoding"))
+        continue;
+      ++codings;
+      isChunked &= equalsIgnoreCase(it.Value, "chunked");
+    }
+    constexpr int firstWithCodings = 11; // HTTP/1.1
+    return codings == 0 || (codings == 1 && isChunked && !hasLength &&
+                            Version >= firstWithCodings);
+  }
+
   Internal::FieldSizeLimiter FieldLimiter;
+  int Version = 0;
 };
 
 } // namespace
--- a/src/libs/httpio/clientconnection.cpp
+++ b/src/libs/httpio/clientconnection.cpp
@@ -40,7 +40,7 @@
   Parser.reset();
   ResponseBytes = 0;
   Interim = Skipped = {};
-  HeadHandled = Skipping = Reusable = false;
+  HeadHandled = Skipping = Reusable = ResetInWrite = false;
   if (Connected)
     return write();
   connect(peer);
@@ -70,9 +70,12 @@
   Writing = true;
   auto self = shared_from_this();
   asio::async_write(Socket, asio::buffer(Output),
-                    [self](const std::error_code &, size_t) {
-                      // A write error is not handled here: it makes the read
-                      // fail, too.
+                    [self](const std::error_code &ec, size_t) {
+                      // The read ends the exchange. The kernel reports a reset
+                      // once, though, so that the read may find an end of data
+                      // after it. A peer that had ended its data before the
+                      // reset makes the write fail with broken_pipe.
+                      self->ResetInWrite = ec && ec != asio::error::broken_pipe;
                       self->Writing = false;
                       self->Output.clear();
                     });
@@ -100,7 +103,7 @@
 }
 
 void ClientConnection::onReadEnd(const std::error_code &ec) {
-  bool closedByPeer = ec == asio::error::eof;
+  bool closedByPeer = ec == asio::error::eof && !ResetInWrite;
   bool closedInBody = closedByPeer && HeadHandled && !Skipping;
   if (inExchange() && closedInBody &&
       Parser.finish() == Http::ResponseState::Complete)
--- a/src/libs/httpio/clientconnection.h
+++ b/src/libs/httpio/clientconnection.h
@@ -98,6 +98,8 @@
   Discarded Skipped;
   bool Connected = false;
   bool Writing = false;
+  /// The peer has reset the connection while the request was being sent.
+  bool ResetInWrite = false;
   bool HeadHandled = false;
   bool Skipping = false;
   bool Reusable = false;
