--- a/src/libs/explain/gatewaycauses.cpp
+++ b/src/libs/explain/gatewaycauses.cpp
@@ -174,6 +174,9 @@
 constexpr char NewerConfiguration[] =
     "another gateway may have a newer configuration in force, which this one "
     "did not have yet";
+constexpr char ConfigurationUnconfirmed[] =
+    "the gateway had just started, and no gateway that was running had yet "
+    "named the version that it has in force";
 constexpr char ConfigurationUnreadable[] =
     "the gateway could not decode a newer configuration, which may have its "
     "route or key";
@@ -215,6 +218,7 @@
     {"malformed", fixedCause<Malformed>},
     {"no_configuration", fixedCause<NoConfiguration>},
     {"newer_configuration", fixedCause<NewerConfiguration>},
+    {"configuration_unconfirmed", fixedCause<ConfigurationUnconfirmed>},
     {"configuration_unreadable", fixedCause<ConfigurationUnreadable>},
     {"configuration_out_of_date", fixedCause<ConfigurationOutOfDate>},
     {"route_unreadable", fixedCause<RouteUnreadable>},
