--- a/src/libs/gateway/configurationcheck.cpp
+++ b/src/libs/gateway/configurationcheck.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 /// Delay before an unanswered question is repeated, doubled each time: 420
-/// gateways that start at once send the few that are asked 1,500 a second.
+/// gateways that start at once send each that is asked 1,400 a second.
 constexpr milliseconds QuestionInterval{50};
 constexpr milliseconds MaxQuestionInterval{800};
 
