--- a/tests/auto/http/answercases.h
+++ b/tests/auto/http/answercases.h
@@ -61,16 +61,20 @@
            make(ok, "Transfer-Encoding: " + std::string(it) + "\r\n",
                 inChunks ? chunks : body)});
   out.push_back({"two codings", make(ok, chunked + chunked, chunks)});
-  for (std::string it : {"Bad Name", "Content-Length ", "Bad\x01Name",
+  auto field = [&](const std::string &name, const std::string &value) {
+    std::string line = name;
+    line.append(": ").append(value).append("\r\n").append(length);
+    return make(ok, line, body);
+  };
+  for (const char *it : {"Bad Name", "Content-Length ", "Bad\x01Name",
                          "Bad\x7fName", "Bad\tName", "(name)"})
-    out.push_back({"name " + it, make(ok, it + ": 1\r\n" + length, body)});
-  for (std::string it : {"a\x01"
+    out.push_back({std::string("name ") + it, field(it, "1")});
+  for (const char *it : {"a\x01"
                          "b",
                          "a\x7f"
                          "b",
                          "a\rb"})
-    out.push_back(
-        {"value " + it, make(ok, "X-Odd: " + it + "\r\n" + length, body)});
+    out.push_back({std::string("value ") + it, field("X-Odd", it)});
   return out;
 }
 
