--- a/review/standins-3/standins.cpp
+++ b/review/standins-3/standins.cpp
@@ -105,16 +105,18 @@
 }
 
 int runBounded(const std::function<int(const std::string &folder)> &script) {
+  std::string folder =
+      std::filesystem::temp_directory_path() / "hickory-review-XXXXXX";
+  if (!mkdtemp(folder.data()))
+    return 2;
   constexpr int64_t mostMs = 100'000;
-  std::thread([end = nowMs() + mostMs] {
+  std::thread([folder, end = nowMs() + mostMs] {
     while (nowMs() < end)
       sleepMs(100);
+    std::error_code ec; // Ignored: the case could not run in any event.
+    std::filesystem::remove_all(folder, ec);
     _exit(2);
   }).detach();
-  std::string folder =
-      std::filesystem::temp_directory_path() / "hickory-review-XXXXXX";
-  if (!mkdtemp(folder.data()))
-    return 2;
   int result = script(folder);
   std::filesystem::remove_all(folder);
   return result;
--- a/review/standins-3/standins.h
+++ b/review/standins-3/standins.h
@@ -14,6 +14,7 @@
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -205,6 +206,32 @@
   int Pid = 0;
 };
 
+/// Ids of requests, added by several threads.
+class Ids {
+public:
+  void add(const std::string &id) {
+    std::lock_guard lock(Mutex);
+    All.insert(id);
+  }
+  /// The ids that `others` lacks.
+  std::set<std::string> without(const Ids &others) const {
+    std::scoped_lock lock(Mutex, others.Mutex);
+    std::set<std::string> out;
+    for (const std::string &it : All)
+      if (others.All.count(it) == 0)
+        out.insert(it);
+    return out;
+  }
+  size_t size() const {
+    std::lock_guard lock(Mutex);
+    return All.size();
+  }
+
+private:
+  mutable std::mutex Mutex;
+  std::set<std::string> All;
+};
+
 /// Loopback address of this run: `last` tells its processes apart.
 std::string addressOf(int last);
 
